--- /dev/null
+++ b/src/back/lines/connection.rs
@@ -0,0 +1,347 @@
+//! One connection to an engine: it carries many requests, and tells of the end of each.
+
+use super::parse::{self, Line, Word};
+use crate::back::{AttemptId, Order, Uplink, failed_connect, failed_io};
+use crate::clock::Micros;
+use crate::core::{AttemptNews, Call, ConnectionEnd, Row, Table};
+use crate::interface::{LoadReport, Usage};
+use crate::service::Ended;
+use bytes::BytesMut;
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+/// What may wait to be written; an engine that takes no more is as good as silent.
+const MOST_UNWRITTEN: usize = 8 << 20;
+
+/// A request that the engine holds.
+struct Carried {
+    attempt: AttemptId,
+    pages: Vec<Option<Vec<Row>>>,
+    usage: Option<Usage>,
+    report: Option<LoadReport>,
+}
+
+struct State {
+    uplink: Uplink,
+    carried: HashMap<String, Carried>,
+    probes: HashMap<String, Micros>,
+    probe_count: u64,
+    unwritten: BytesMut,
+    count: Arc<AtomicUsize>,
+    heard: Micros,
+    used: Micros,
+    /// Since when the engine owes word and has sent none. Probes that timed out leave it as it is.
+    owes_since: Option<Micros>,
+}
+
+/// Why a connection's loop ended.
+enum Over {
+    Connection(ConnectionEnd),
+    Idle,
+    Service,
+}
+
+impl From<Ended> for Over {
+    fn from(_: Ended) -> Over {
+        Over::Service
+    }
+}
+
+/// Opens a connection and carries what is ordered on it, until it ends.
+pub async fn run(
+    uplink: Uplink,
+    address: SocketAddr,
+    mut orders: mpsc::Receiver<Order>,
+    count: Arc<AtomicUsize>,
+) {
+    let connecting = tokio::time::timeout(uplink.limits.connect_timeout, TcpStream::connect(address));
+    let stream = match connecting.await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(error)) => Err(failed_connect(&error)),
+        Err(_) => Err(ConnectionEnd::NotUp),
+    };
+    let now = uplink.clock.now();
+    let mut state = State {
+        uplink,
+        carried: HashMap::new(),
+        probes: HashMap::new(),
+        probe_count: 0,
+        unwritten: BytesMut::new(),
+        count,
+        heard: now,
+        used: now,
+        owes_since: None,
+    };
+    let (over, unwritten) = match stream {
+        Ok(stream) => (state.carry(stream, &mut orders).await, ConnectionEnd::NeverWritten),
+        Err(end) => (Over::Connection(end), end),
+    };
+    let end = match over {
+        Over::Service => return,
+        Over::Idle => ConnectionEnd::Closed,
+        Over::Connection(end) => end,
+    };
+    if !state.carried.is_empty() {
+        log::warn!("engine at {address}: connection ended ({end:?}) with {} out", state.carried.len());
+    }
+    // What was written may have run; what still waits in the queue never did.
+    orders.close();
+    let now = state.uplink.clock.now();
+    for (_, carried) in state.carried.drain() {
+        if state.uplink.ended(carried.attempt, end).await.is_err() {
+            return;
+        }
+    }
+    for (_, sent) in state.probes.drain() {
+        if state.uplink.probed(end, None, now - sent).await.is_err() {
+            return;
+        }
+    }
+    while let Some(order) = orders.recv().await {
+        if state.uplink.unwritten(order, unwritten).await.is_err() {
+            return;
+        }
+    }
+}
+
+impl State {
+    async fn carry(&mut self, stream: TcpStream, orders: &mut mpsc::Receiver<Order>) -> Over {
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("no delay: {error}");
+        }
+        let (mut reader, mut writer) = stream.into_split();
+        let mut received = BytesMut::with_capacity(16 * 1024);
+        loop {
+            let wake = self.next_wake();
+            tokio::select! {
+                order = orders.recv() => match order {
+                    Some(order) => {
+                        let now = self.uplink.clock.now();
+                        self.order(order, now);
+                        while let Ok(order) = orders.try_recv() {
+                            self.order(order, now);
+                        }
+                    }
+                    None => return Over::Service,
+                },
+                read = reader.read_buf(&mut received) => {
+                    let end = match read {
+                        Ok(0) => Some(ConnectionEnd::Closed),
+                        Ok(_) => None,
+                        Err(error) => Some(failed_io(&error)),
+                    };
+                    self.heard = self.uplink.clock.now();
+                    self.owes_since = None;
+                    if let Err(over) = self.take(&mut received).await {
+                        return over;
+                    }
+                    if let Some(end) = end {
+                        return Over::Connection(end);
+                    }
+                    self.owes_since = self.is_busy().then_some(self.heard);
+                }
+                written = writer.write_buf(&mut self.unwritten), if !self.unwritten.is_empty() => {
+                    if let Err(error) = written {
+                        return Over::Connection(failed_io(&error));
+                    }
+                }
+                () = tokio::time::sleep_until(wake.into()) => {
+                    if let Err(over) = self.time_passed().await {
+                        return over;
+                    }
+                }
+            }
+            if self.unwritten.len() > MOST_UNWRITTEN {
+                return Over::Connection(ConnectionEnd::Silent);
+            }
+        }
+    }
+
+    fn next_wake(&self) -> Instant {
+        let limits = &self.uplink.limits;
+        let probes = self.probes.values().map(|sent| *sent + limits.probe_timeout);
+        let silent = self.silent_at();
+        let at = probes.chain(silent).min().unwrap_or(self.used + limits.idle_after);
+        self.uplink.clock.instant(at)
+    }
+
+    fn is_busy(&self) -> bool {
+        !self.carried.is_empty() || !self.probes.is_empty()
+    }
+
+    /// An engine that owes word sends some all the time; one that does not is cut off or stands still.
+    fn silent_at(&self) -> Option<Micros> {
+        self.owes_since.map(|since| since + self.uplink.limits.silent_after)
+    }
+
+    fn order(&mut self, order: Order, now: Micros) {
+        self.used = now;
+        if matches!(order, Order::Launch(..) | Order::Probe) {
+            self.owes_since.get_or_insert(now);
+        }
+        match order {
+            Order::Launch(attempt, call) => self.launch(attempt, call),
+            Order::Halt(attempt) => {
+                if let Some(name) = self.name_of(attempt) {
+                    self.line(format_args!("STOP {name}\r\n"));
+                    self.drop_carried(&name);
+                }
+            }
+            Order::Rank(attempt, priority) => {
+                if let Some(name) = self.name_of(attempt) {
+                    self.line(format_args!("NICE {name} {priority}\r\n"));
+                }
+            }
+            Order::Probe => {
+                self.probe_count += 1;
+                let tag = format!("p{}", self.probe_count);
+                self.line(format_args!("STAT {tag}\r\n"));
+                self.probes.insert(tag, now);
+            }
+            Order::Address(_) => {}
+        }
+    }
+
+    fn launch(&mut self, attempt: AttemptId, call: Call) {
+        let patience = parse::patience(call.patience.to_duration());
+        let key = call.key.map(|key| format!(",op={key}")).unwrap_or_default();
+        let Call { name, class, priority, statement, .. } = call;
+        let length = statement.len();
+        self.line(format_args!(
+            "REQ {name} sort={class},patience={patience}{key},urgency={priority} {length}\r\n{statement}\r\n"
+        ));
+        self.carried.insert(name, Carried { attempt, pages: Vec::new(), usage: None, report: None });
+    }
+
+    fn line(&mut self, text: std::fmt::Arguments<'_>) {
+        let mut writer = bytes::BufMut::writer(&mut self.unwritten);
+        // Writing to a growing buffer cannot fail.
+        let _ = writer.write_fmt(text);
+    }
+
+    fn name_of(&self, attempt: AttemptId) -> Option<String> {
+        self.carried.iter().find(|(_, carried)| carried.attempt == attempt).map(|(name, _)| name.clone())
+    }
+
+    fn drop_carried(&mut self, name: &str) -> Option<Carried> {
+        let carried = self.carried.remove(name);
+        if carried.is_some() {
+            self.count.fetch_sub(1, Ordering::Relaxed);
+        }
+        carried
+    }
+
+    async fn take(&mut self, received: &mut BytesMut) -> Result<(), Over> {
+        loop {
+            match parse::next(received) {
+                Ok(Some(line)) => self.said(line).await?,
+                Ok(None) => return Ok(()),
+                Err(error) => {
+                    log::warn!("an engine's line can't be used, its connection ends: {error}");
+                    return Err(Over::Connection(ConnectionEnd::Garbled));
+                }
+            }
+        }
+    }
+
+    async fn said(&mut self, line: Line) -> Result<(), Over> {
+        if let Some(sent) = self.probes.remove(&line.id) {
+            let end = match line.word {
+                Word::Alive => ConnectionEnd::Answered,
+                Word::Full => ConnectionEnd::AnsweredFull,
+                _ => ConnectionEnd::AnsweredError,
+            };
+            return Ok(self.uplink.probed(end, line.fields.report, self.heard - sent).await?);
+        }
+        // Word of what was given up crosses its stop: it is not heard.
+        let Some(carried) = self.carried.get_mut(&line.id) else { return Ok(()) };
+        let attempt = carried.attempt;
+        match line.word {
+            Word::Status => {
+                if let Some(note) = line.fields.note {
+                    self.uplink.news(attempt, AttemptNews::Note(note)).await?;
+                }
+            }
+            Word::Ok | Word::Chunk => return self.page(line).await,
+            Word::Full | Word::Error | Word::Over | Word::Alive | Word::Dead => {
+                self.drop_carried(&line.id);
+                let end = match line.word {
+                    Word::Full => ConnectionEnd::AnsweredFull,
+                    Word::Over => ConnectionEnd::AnsweredOver,
+                    _ => ConnectionEnd::AnsweredError,
+                };
+                self.uplink.news(attempt, AttemptNews::Ended { end, report: line.fields.report }).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// A page. The first names how many there are, and the others are fetched at once: no row goes to the
+    /// client before all are here, so that an engine that dies between pages costs an attempt, not the answer.
+    async fn page(&mut self, line: Line) -> Result<(), Over> {
+        let Some(carried) = self.carried.get_mut(&line.id) else { return Ok(()) };
+        let Ok(rows) = parse::rows(&line.body) else {
+            log::warn!("a page is not text: the connection ends");
+            return Err(Over::Connection(ConnectionEnd::Garbled));
+        };
+        let first = line.word == Word::Ok && carried.pages.is_empty();
+        if first {
+            carried.pages = vec![None; line.fields.sheets.unwrap_or(1).max(1) as usize];
+            carried.usage = line.fields.usage;
+            carried.report = line.fields.report;
+        }
+        let number = if first { 0 } else { line.fields.sheet.unwrap_or(0) as usize };
+        let Some(place) = carried.pages.get_mut(number).filter(|page| page.is_none()) else {
+            log::warn!("an engine sent a page that nobody asked for: the connection ends");
+            return Err(Over::Connection(ConnectionEnd::Garbled));
+        };
+        *place = Some(rows);
+        let pages = carried.pages.len();
+        if first {
+            for page in 1..pages {
+                self.line(format_args!("FETCH {} {page}\r\n", line.id));
+            }
+        }
+        let whole = self.carried.get(&line.id).is_some_and(|one| one.pages.iter().all(Option::is_some));
+        if whole && let Some(carried) = self.drop_carried(&line.id) {
+            if pages > 1 {
+                self.line(format_args!("END {}\r\n", line.id));
+            }
+            let rows = carried.pages.into_iter().flatten().flatten().collect();
+            let table = Table { columns: Vec::new(), rows };
+            let news = AttemptNews::Served { table, usage: carried.usage, report: carried.report };
+            self.uplink.news(carried.attempt, news).await?;
+        }
+        Ok(())
+    }
+
+    async fn time_passed(&mut self) -> Result<(), Over> {
+        let now = self.uplink.clock.now();
+        let limits = &self.uplink.limits;
+        if self.silent_at().is_some_and(|at| now >= at) {
+            return Err(Over::Connection(ConnectionEnd::Silent));
+        }
+        if !self.is_busy() && now >= self.used + limits.idle_after {
+            return Err(Over::Idle);
+        }
+        let late: Vec<String> = self
+            .probes
+            .iter()
+            .filter(|(_, sent)| now >= **sent + limits.probe_timeout)
+            .map(|(tag, _)| tag.clone())
+            .collect();
+        for tag in late {
+            if let Some(sent) = self.probes.remove(&tag) {
+                self.uplink.probed(ConnectionEnd::TimedOut, None, now - sent).await?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/src/bin/reedarch-drill/main.rs
+++ b/src/bin/reedarch-drill/main.rs
@@ -2,7 +2,6 @@
 //! simulated front, fed from standard input.
 #![forbid(unsafe_code)]
 
-mod settings;
 mod wire;
 
 use std::io::{self, BufWriter, Write};
--- a/src/bin/reedarch-drill/wire.rs
+++ b/src/bin/reedarch-drill/wire.rs
@@ -1,6 +1,6 @@
 //! Lines of the wire to events of the library, and its actions back to lines.
 
-use crate::settings::{self, Front, number};
+use reedarch::settings::{self, Front, number};
 use reedarch::{
     Action, AttemptEnd, CellId, ClassId, EngineEntry, EngineId, EngineState, Event, Gateway, KindId,
     ListNews, LoadReport, Note, OrderKey, Outcome, Request, RequestId, TenantId, Usage, ZoneId,
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,251 @@
+//! The service without any wire, clock or I/O: what happened goes in, what is to be done comes out.
+//!
+//! A request passes the stages in order: [`take_in`] checks it, [`admit`] hands it to the decision module,
+//! [`route`] carries out what the module decides, [`send`] starts and stops attempts, [`relay`] brings word
+//! of them back, and [`book`] gives the one final answer and counts it.
+
+mod admit;
+mod book;
+mod relay;
+mod route;
+mod send;
+mod take_in;
+mod types;
+
+pub use book::{Books, Tally};
+pub use take_in::Invalid;
+pub use types::*;
+
+use crate::clock::Micros;
+use crate::interface::{Action, CellId, EngineEntry, EngineState, Event, KindId, ListNews, ZoneId};
+use crate::logic::Gateway;
+use crate::settings::{Front, number};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+
+/// A request that is owed its answer. It leaves the table with the answer, so there can be no second one.
+#[derive(Debug)]
+struct Open {
+    arrival: Arrival,
+    class: usize,
+    arrived: Micros,
+    deadline: Micros,
+    priority: u8,
+    standing: Standing,
+}
+
+/// Where an open request stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// The module holds it.
+    Held,
+    /// This attempt is out.
+    Out(u32),
+}
+
+/// An attempt whose end the module has not been told.
+#[derive(Debug)]
+struct Attempt {
+    engine: u64,
+    sent: Micros,
+    /// Set once it was given up: the end that the module is told when the stop has had time to arrive.
+    halted: Option<crate::interface::Outcome>,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Module(u64),
+    Deadline(u64),
+    AttemptOver { request: u64, attempt: u32 },
+    Halted { request: u64, attempt: u32 },
+    Unsendable { request: u64, attempt: u32 },
+}
+
+#[derive(Debug)]
+struct KnownEngine {
+    name: String,
+    zone: String,
+    kind: String,
+    state: EngineState,
+}
+
+/// The state of one workload manager.
+#[derive(Debug)]
+pub struct Core {
+    gateway: Gateway,
+    front: Front,
+    max_open: usize,
+    requests: HashMap<u64, Open>,
+    names: HashSet<String>,
+    attempts: HashMap<(u64, u32), Attempt>,
+    sent: HashMap<u64, u32>,
+    engines: HashMap<u64, KnownEngine>,
+    engine_ids: HashMap<String, u64>,
+    timers: BinaryHeap<Reverse<(Micros, u64, Timer)>>,
+    timer_count: u64,
+    actions: Vec<Action>,
+    refusing: bool,
+    books: Books,
+}
+
+impl Core {
+    /// A core that knows its settings and nothing else yet.
+    pub fn new(front: Front, max_open: usize, seed: u64, now: Micros) -> Core {
+        Core {
+            gateway: Gateway::new(front.settings.clone(), seed, now.as_ms()),
+            books: Books::new(&front),
+            front,
+            max_open,
+            requests: HashMap::new(),
+            names: HashSet::new(),
+            attempts: HashMap::new(),
+            sent: HashMap::new(),
+            engines: HashMap::new(),
+            engine_ids: HashMap::new(),
+            timers: BinaryHeap::new(),
+            timer_count: 0,
+            actions: Vec::new(),
+            refusing: false,
+        }
+    }
+
+    /// Takes one input and adds what is to be done about it to `out`, in order.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Command>) {
+        match input {
+            Input::Arrived(arrival) => match self.take_in(now, arrival) {
+                Ok(open) => self.admit(now, open, out),
+                Err((request, why)) => out.push(Command::Answer { request, answer: Answer::Invalid(why) }),
+            },
+            Input::Left(request) => self.client_left(now, request, out),
+            Input::Cancelled(request) => self.cancelled(now, request, out),
+            Input::Engines(news) => self.list(now, news, out),
+            Input::Attempt { request, attempt, news } => self.relay(now, request, attempt, news, out),
+            Input::Probed { engine, end, report, elapsed } => {
+                let event = Event::Probed {
+                    engine: crate::interface::EngineId(engine),
+                    outcome: end.outcome(),
+                    elapsed_ms: elapsed.as_ms(),
+                    report,
+                };
+                self.decide(now, event, out);
+            }
+            Input::Clock => self.due(now, out),
+            Input::RefuseNew => self.refusing = true,
+        }
+    }
+
+    /// When [`Input::Clock`] is next wanted.
+    pub fn next_wake(&self) -> Option<Micros> {
+        self.timers.peek().map(|Reverse((at, ..))| *at)
+    }
+
+    /// Requests that are owed an answer.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn set_timer(&mut self, at: Micros, timer: Timer) {
+        self.timer_count += 1;
+        self.timers.push(Reverse((at, self.timer_count, timer)));
+    }
+
+    /// Tells the module, and carries out what it wants done.
+    fn decide(&mut self, now: Micros, event: Event, out: &mut Vec<Command>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.gateway.handle(now.as_ms(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(now, action, out);
+        }
+        self.actions = actions;
+    }
+
+    fn due(&mut self, now: Micros, out: &mut Vec<Command>) {
+        while self.timers.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
+            let Some(Reverse((_, _, timer))) = self.timers.pop() else { return };
+            match timer {
+                Timer::Module(token) => self.decide(now, Event::Timer(token), out),
+                // The module answers before this; a request is never left to it alone.
+                Timer::Deadline(request) => self.overdue(now, request, out),
+                Timer::AttemptOver { request, attempt } => self.attempt_over(now, request, attempt, out),
+                Timer::Halted { request, attempt } => self.halted(now, request, attempt, out),
+                Timer::Unsendable { request, attempt } => self.unsendable(now, request, attempt, out),
+            }
+        }
+    }
+
+    fn list(&mut self, now: Micros, news: EngineNews, out: &mut Vec<Command>) {
+        let (told, form): (Vec<Engine>, fn(Vec<EngineEntry>) -> ListNews) = match news {
+            EngineNews::Start(told) => (told, ListNews::Restored),
+            EngineNews::Whole(told) => (told, ListNews::Replace),
+            EngineNews::Changed(told) => (told, ListNews::Update),
+        };
+        let mut entries = Vec::with_capacity(told.len());
+        for engine in told {
+            let next = self.engine_ids.len() as u64;
+            let id = *self.engine_ids.entry(engine.name.clone()).or_insert(next);
+            entries.push(EngineEntry {
+                id: crate::interface::EngineId(id),
+                started_at: engine.started.map(Micros::as_ms),
+                cell: engine.cell.map(CellId),
+                state: engine.state,
+                kind: KindId(number(&mut self.front.kinds, &engine.kind)),
+                weight: engine.weight,
+                zone: ZoneId(number(&mut self.front.zones, &engine.zone)),
+            });
+            out.push(Command::Engine {
+                engine: id,
+                name: engine.name.clone(),
+                address: engine.address,
+                state: engine.state,
+            });
+            let known =
+                KnownEngine { name: engine.name, zone: engine.zone, kind: engine.kind, state: engine.state };
+            self.engines.insert(id, known);
+        }
+        let news = form(entries);
+        if let ListNews::Replace(entries) | ListNews::Restored(entries) = &news {
+            let unnamed =
+                self.engines.iter_mut().filter(|(id, _)| !entries.iter().any(|entry| entry.id.0 == **id));
+            unnamed.for_each(|(_, engine)| engine.state = EngineState::Gone);
+        }
+        self.decide(now, Event::List(news), out);
+    }
+
+    /// What the administration API shows.
+    pub fn report(&self, now: Micros) -> Report {
+        let mut engines: Vec<EngineReport> = self
+            .engines
+            .iter()
+            .map(|(id, engine)| EngineReport {
+                name: engine.name.clone(),
+                zone: engine.zone.clone(),
+                kind: engine.kind.clone(),
+                state: format!("{:?}", engine.state).to_lowercase(),
+                attempts_out: self.attempts.values().filter(|attempt| attempt.engine == *id).count(),
+            })
+            .collect();
+        engines.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut requests: Vec<RequestReport> = self
+            .requests
+            .iter()
+            .map(|(id, open)| RequestReport {
+                id: *id,
+                name: open.arrival.name.clone(),
+                class: open.arrival.class.clone(),
+                tenant: open.arrival.tenant.clone(),
+                age_ms: (now - open.arrived).as_ms(),
+                left_ms: (open.deadline - now).as_ms(),
+                state: match open.standing {
+                    Standing::Held => "held".to_owned(),
+                    Standing::Out(attempt) => self
+                        .attempts
+                        .get(&(*id, attempt))
+                        .and_then(|attempt| self.engines.get(&attempt.engine))
+                        .map_or("out".to_owned(), |engine| format!("on {}", engine.name)),
+                },
+            })
+            .collect();
+        requests.sort_by_key(|request| request.id);
+        Report { engines, requests, books: self.books.clone(), stopping: self.refusing }
+    }
+}
--- /dev/null
+++ b/src/core/send.rs
@@ -0,0 +1,111 @@
+//! Send: starts attempts and gives them up.
+
+use super::{Attempt, Call, Command, Core, Standing, Timer};
+use crate::clock::Micros;
+use crate::interface::{AttemptEnd, EngineState, Event, Outcome, RequestId};
+
+/// Time for a stop to reach its engine before the module may send the request elsewhere: without it two
+/// attempts of one request could be out at once, as the two engines see it.
+const HALT_SETTLES: Micros = Micros(10_000);
+
+impl Core {
+    pub(super) fn launch(
+        &mut self,
+        now: Micros,
+        request: u64,
+        engine: u64,
+        timeout: Micros,
+        out: &mut Vec<Command>,
+    ) {
+        let sent = self.sent.entry(request).or_insert(0);
+        let attempt = *sent;
+        *sent += 1;
+        let Some(open) = self.requests.get_mut(&request) else {
+            return out.push(Command::Log(format!("the module sent request {request}, which is over")));
+        };
+        self.attempts.insert((request, attempt), Attempt { engine, sent: now, halted: None });
+        let ready = self.engines.get(&engine).is_some_and(|engine| engine.state == EngineState::Ready);
+        let left = open.deadline - now;
+        if !ready || left.0 <= 0 {
+            return self.set_timer(now, Timer::Unsendable { request, attempt });
+        }
+        open.standing = Standing::Out(attempt);
+        let patience = if timeout.0 > 0 { timeout.min(left) } else { left };
+        let call = Call {
+            name: open.arrival.name.clone(),
+            class: open.arrival.class.clone(),
+            key: open.arrival.key.clone(),
+            statement: open.arrival.statement.clone(),
+            patience,
+            priority: open.priority,
+        };
+        self.set_timer(now + patience, Timer::AttemptOver { request, attempt });
+        out.push(Command::Launch { request, attempt, engine, call });
+    }
+
+    /// Gives an attempt up. The module hears of it once the stop has had time to arrive.
+    pub(super) fn halt(
+        &mut self,
+        now: Micros,
+        request: u64,
+        attempt: u32,
+        outcome: Outcome,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(running) = self.attempts.get_mut(&(request, attempt)) else { return };
+        if running.halted.is_none() {
+            running.halted = Some(outcome);
+            out.push(Command::Halt { request, attempt, engine: running.engine });
+            self.set_timer(now + HALT_SETTLES, Timer::Halted { request, attempt });
+        }
+    }
+
+    pub(super) fn halted(&mut self, now: Micros, request: u64, attempt: u32, out: &mut Vec<Command>) {
+        let outcome = self.attempts.get(&(request, attempt)).and_then(|running| running.halted);
+        if let Some(outcome) = outcome {
+            self.end(now, request, attempt, outcome, None, None, out);
+        }
+    }
+
+    pub(super) fn attempt_over(&mut self, now: Micros, request: u64, attempt: u32, out: &mut Vec<Command>) {
+        self.halt(now, request, attempt, Outcome::TimedOut, out);
+    }
+
+    pub(super) fn unsendable(&mut self, now: Micros, request: u64, attempt: u32, out: &mut Vec<Command>) {
+        self.end(now, request, attempt, Outcome::NotSent, None, None, out);
+    }
+
+    /// The one place where an attempt leaves the table and the module hears of its end.
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn end(
+        &mut self,
+        now: Micros,
+        request: u64,
+        attempt: u32,
+        outcome: Outcome,
+        usage: Option<crate::interface::Usage>,
+        report: Option<crate::interface::LoadReport>,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(ended) = self.attempts.remove(&(request, attempt)) else { return };
+        if let Some(open) = self.requests.get_mut(&request)
+            && open.standing == Standing::Out(attempt)
+        {
+            open.standing = Standing::Held;
+        }
+        let settled = !self.requests.contains_key(&request);
+        if settled && !self.attempts.keys().any(|(other, _)| *other == request) {
+            self.sent.remove(&request);
+        }
+        let event = Event::Ended(AttemptEnd {
+            request: RequestId(request),
+            attempt,
+            outcome,
+            elapsed_ms: (now - ended.sent).as_ms(),
+            settled,
+            usage,
+            report,
+        });
+        self.decide(now, event, out);
+    }
+}
--- /dev/null
+++ b/src/core/types.rs
@@ -0,0 +1,326 @@
+//! What goes into and comes out of the core: neutral types that no wire shows in.
+
+use super::{Books, Invalid};
+use crate::clock::Micros;
+use crate::interface::{EngineState, LoadReport, Note, Outcome, Usage};
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Rows of text; a missing value is `None`.
+pub type Row = Vec<Option<String>>;
+
+/// A whole result.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Table {
+    /// Names of the columns, where the engine told them.
+    pub columns: Vec<String>,
+    /// The rows, in order.
+    pub rows: Vec<Row>,
+}
+
+/// A request, as a front took it.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Its number; never used twice.
+    pub request: u64,
+    /// The client's name for it, passed on to engines unchanged.
+    pub name: String,
+    /// Its class.
+    pub class: String,
+    /// Its tenant.
+    pub tenant: Option<String>,
+    /// Its idempotency key.
+    pub key: Option<String>,
+    /// The statement.
+    pub statement: Arc<str>,
+    /// How long its client still waits.
+    pub left: Micros,
+}
+
+/// The final answer to a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    /// Served, whole.
+    Served(Table),
+    /// Refused: trying again is harmless, best after this long.
+    Refused {
+        /// Advice to stay away this long; 0 for none.
+        retry_after: Micros,
+    },
+    /// Failed, with no promise.
+    Failed,
+    /// Ended by an operator.
+    Cancelled,
+    /// It could not be used, and nothing was done about it.
+    Invalid(Invalid),
+}
+
+/// What an engine is sent.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// The client's name for the request.
+    pub name: String,
+    /// Its class.
+    pub class: String,
+    /// Its idempotency key, in keyed classes.
+    pub key: Option<String>,
+    /// The statement.
+    pub statement: Arc<str>,
+    /// How long the workload manager will wait.
+    pub patience: Micros,
+    /// Its priority, 0 to 3.
+    pub priority: u8,
+}
+
+/// Every way in which a connection, or what was sent on it, can end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The engine answered: served.
+    Answered,
+    /// The engine answered with an error.
+    AnsweredError,
+    /// The engine was full; it never ran.
+    AnsweredFull,
+    /// The engine said that the request was over; it never ran.
+    AnsweredOver,
+    /// Connecting was refused.
+    Refused,
+    /// The connection did not come up in time, or there was no descriptor for it.
+    NotUp,
+    /// The connection came up but ended before this was written to it.
+    NeverWritten,
+    /// Closed by the engine in the midst of it.
+    Closed,
+    /// Reset in the midst of it.
+    Reset,
+    /// What the engine sent could not be read.
+    Garbled,
+    /// The engine said nothing for too long.
+    Silent,
+    /// No answer in the time that it had.
+    TimedOut,
+    /// Given up by the workload manager.
+    GivenUp,
+}
+
+impl ConnectionEnd {
+    /// The one place where ends become the module's outcomes.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            ConnectionEnd::Answered => Outcome::Served,
+            ConnectionEnd::AnsweredError => Outcome::ServerError,
+            ConnectionEnd::AnsweredFull => Outcome::Full,
+            ConnectionEnd::AnsweredOver => Outcome::NotSent,
+            ConnectionEnd::Refused | ConnectionEnd::NotUp | ConnectionEnd::NeverWritten => {
+                Outcome::NoConnection
+            }
+            // It was written, so it may have run.
+            ConnectionEnd::Closed | ConnectionEnd::Reset | ConnectionEnd::Garbled | ConnectionEnd::Silent => {
+                Outcome::ConnectionLost
+            }
+            ConnectionEnd::TimedOut => Outcome::TimedOut,
+            ConnectionEnd::GivenUp => Outcome::Cancelled,
+        }
+    }
+}
+
+/// Word of an attempt.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AttemptNews {
+    /// It runs.
+    Note(Note),
+    /// It is over and served.
+    Served {
+        /// The whole result.
+        table: Table,
+        /// What it needed, where told.
+        usage: Option<Usage>,
+        /// The engine's load, where told.
+        report: Option<LoadReport>,
+    },
+    /// It is over in another way.
+    Ended {
+        /// How.
+        end: ConnectionEnd,
+        /// The engine's load, where told.
+        report: Option<LoadReport>,
+    },
+}
+
+/// An engine as discovery names it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Engine {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Its kind of machine.
+    pub kind: String,
+    /// Its cell.
+    pub cell: Option<u64>,
+    /// Its state.
+    pub state: EngineState,
+    /// Its weight.
+    pub weight: f64,
+    /// When it last started, where that is told.
+    pub started: Option<Micros>,
+}
+
+/// News of the engine list.
+#[derive(Debug, Clone, PartialEq)]
+pub enum EngineNews {
+    /// The whole list at the start.
+    Start(Vec<Engine>),
+    /// The whole list.
+    Whole(Vec<Engine>),
+    /// Changed entries only.
+    Changed(Vec<Engine>),
+}
+
+/// What the core is told.
+#[derive(Debug)]
+pub enum Input {
+    /// A front took a request.
+    Arrived(Arrival),
+    /// The client of a request stopped waiting.
+    Left(u64),
+    /// An operator ends a request.
+    Cancelled(u64),
+    /// News of the engine list.
+    Engines(EngineNews),
+    /// Word of an attempt.
+    Attempt {
+        /// Its request.
+        request: u64,
+        /// Its number.
+        attempt: u32,
+        /// The word.
+        news: AttemptNews,
+    },
+    /// A probe came back.
+    Probed {
+        /// The engine.
+        engine: u64,
+        /// How it ended.
+        end: ConnectionEnd,
+        /// The load, where told.
+        report: Option<LoadReport>,
+        /// How long it took.
+        elapsed: Micros,
+    },
+    /// Time has passed.
+    Clock,
+    /// From now on every new request is refused: the program is about to end.
+    RefuseNew,
+}
+
+/// What the core wants done.
+#[derive(Debug)]
+pub enum Command {
+    /// Give a request its one final answer.
+    Answer {
+        /// The request.
+        request: u64,
+        /// The answer.
+        answer: Answer,
+    },
+    /// Start an attempt.
+    Launch {
+        /// Its request.
+        request: u64,
+        /// Its number.
+        attempt: u32,
+        /// Where.
+        engine: u64,
+        /// What.
+        call: Call,
+    },
+    /// Give an attempt up; no word of it is wanted any more.
+    Halt {
+        /// Its request.
+        request: u64,
+        /// Its number.
+        attempt: u32,
+        /// Where.
+        engine: u64,
+    },
+    /// Change the priority of an attempt.
+    Rank {
+        /// Its request.
+        request: u64,
+        /// Its number.
+        attempt: u32,
+        /// Where.
+        engine: u64,
+        /// The priority, 0 to 3.
+        priority: u8,
+    },
+    /// Probe an engine.
+    Probe {
+        /// Which.
+        engine: u64,
+    },
+    /// An engine is listed or has changed.
+    Engine {
+        /// Its number.
+        engine: u64,
+        /// Its name.
+        name: String,
+        /// Where it listens.
+        address: SocketAddr,
+        /// Its state.
+        state: EngineState,
+    },
+    /// A line for the log.
+    Log(String),
+}
+
+/// What the administration API shows of the whole service.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    /// The engines.
+    pub engines: Vec<EngineReport>,
+    /// Requests that are owed an answer.
+    pub requests: Vec<RequestReport>,
+    /// What has been answered so far.
+    pub books: Books,
+    /// True once new requests are refused.
+    pub stopping: bool,
+}
+
+/// One engine.
+#[derive(Debug, Serialize)]
+pub struct EngineReport {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its kind.
+    pub kind: String,
+    /// Its state in the list.
+    pub state: String,
+    /// Attempts of this workload manager that are out there.
+    pub attempts_out: usize,
+}
+
+/// One open request.
+#[derive(Debug, Serialize)]
+pub struct RequestReport {
+    /// Its number.
+    pub id: u64,
+    /// The client's name for it.
+    pub name: String,
+    /// Its class.
+    pub class: String,
+    /// Its tenant.
+    pub tenant: Option<String>,
+    /// Time since it was taken.
+    pub age_ms: f64,
+    /// Time until its client gives up.
+    pub left_ms: f64,
+    /// `held`, or where it runs.
+    pub state: String,
+}
--- /dev/null
+++ b/src/discovery/mod.rs
@@ -0,0 +1,209 @@
+//! The list of engines: the events of the start, then the name service, asked again and again over DNS.
+
+pub mod dns;
+
+use crate::clock::Clock;
+use crate::core::{Engine, EngineNews, Input};
+use crate::interface::EngineState;
+use crate::service::Handle;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::UdpSocket;
+
+/// Time between two questions. An event counts as told 1.5 s after it happened at the latest, and a drained
+/// engine may be sent work for 0.5 s more: even two lost answers must not take that long.
+const ASK_EVERY: Duration = Duration::from_millis(200);
+/// An answer that is not there by then is lost.
+const ANSWER_WITHIN: Duration = Duration::from_millis(180);
+/// The longest answer, with some to spare.
+const LONGEST_ANSWER: usize = 16 * 1024;
+/// Log again that the name service says nothing after so many lost answers.
+const LOG_EVERY: u32 = 25;
+
+/// Why an answer of the name service could not be used.
+#[derive(Debug, Error)]
+pub enum Unusable {
+    /// Not an answer to this question, or not DNS.
+    #[error("an answer that can't be read")]
+    Unreadable,
+    /// Cut short: what it lists is not the whole list.
+    #[error("an answer that is cut short")]
+    Truncated,
+    /// The name service refused.
+    #[error("the name service answered with code {0}")]
+    Code(u8),
+    /// A target without its address, or without a zone.
+    #[error("an engine without its {0}")]
+    Missing(&'static str),
+}
+
+/// The list as the name service last told it.
+#[derive(Debug, Default)]
+pub struct Listed {
+    serial: u32,
+    engines: BTreeMap<String, Engine>,
+}
+
+impl Listed {
+    /// Takes over an event of the start.
+    pub fn start(&mut self, serial: u32, whole: bool, engines: Vec<Engine>) {
+        self.serial = serial;
+        if whole {
+            self.engines.clear();
+        }
+        for engine in engines {
+            match engine.state {
+                EngineState::Gone => self.engines.remove(&engine.name),
+                _ => self.engines.insert(engine.name.clone(), engine),
+            };
+        }
+    }
+
+    /// All engines that are not gone.
+    pub fn engines(&self) -> Vec<Engine> {
+        self.engines.values().cloned().collect()
+    }
+
+    /// Takes over an answer, and tells what has changed. An older answer that came late changes nothing.
+    pub fn update(&mut self, serial: u32, engines: Vec<Engine>) -> Vec<Engine> {
+        if serial <= self.serial {
+            return Vec::new();
+        }
+        self.serial = serial;
+        let new: BTreeMap<String, Engine> = engines.into_iter().map(|one| (one.name.clone(), one)).collect();
+        let gone = self.engines.values().filter(|old| !new.contains_key(&old.name));
+        let mut changed: Vec<Engine> =
+            gone.map(|old| Engine { state: EngineState::Gone, ..old.clone() }).collect();
+        changed.extend(new.values().filter(|one| self.engines.get(&one.name) != Some(*one)).cloned());
+        self.engines = new;
+        changed
+    }
+}
+
+/// Asks the name service until the service ends.
+pub async fn run(
+    resolver: SocketAddr,
+    service: String,
+    mut listed: Listed,
+    handle: Handle,
+    clock: Clock,
+    seed: u64,
+) {
+    let mut rng = oorandom::Rand32::new(seed);
+    let mut lost = 0u32;
+    loop {
+        let began = tokio::time::Instant::now();
+        let asked = ask(resolver, &service, (rng.rand_u32() & 0xffff) as u16).await;
+        let answer =
+            asked.and_then(|bytes| Ok(dns::read(&bytes)?)).and_then(|answer| engines(&answer, &clock));
+        match answer {
+            Ok((serial, engines)) => {
+                if lost >= LOG_EVERY {
+                    log::info!("name service: answers again");
+                }
+                lost = 0;
+                let changed = listed.update(serial, engines);
+                if !changed.is_empty()
+                    && handle.tell(Input::Engines(EngineNews::Changed(changed))).await.is_err()
+                {
+                    return;
+                }
+            }
+            Err(error) => {
+                lost += 1;
+                match lost % LOG_EVERY {
+                    1 => log::warn!("name service: {error}"),
+                    _ => log::debug!("name service: {error}"),
+                }
+            }
+        }
+        tokio::time::sleep_until(began + ASK_EVERY).await;
+    }
+}
+
+/// What kept an answer away.
+#[derive(Debug, Error)]
+enum Lost {
+    #[error("{0}")]
+    Socket(#[from] std::io::Error),
+    #[error("no answer")]
+    Silent,
+    #[error("{0}")]
+    Unusable(#[from] Unusable),
+}
+
+async fn ask(resolver: SocketAddr, service: &str, id: u16) -> Result<Vec<u8>, Lost> {
+    let here = if resolver.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+    let socket = UdpSocket::bind(here).await?;
+    socket.connect(resolver).await?;
+    socket.send(&dns::question(id, service)).await?;
+    let mut buffer = vec![0; LONGEST_ANSWER];
+    let deadline = tokio::time::Instant::now() + ANSWER_WITHIN;
+    loop {
+        let received = tokio::time::timeout_at(deadline, socket.recv(&mut buffer)).await;
+        let length = received.map_err(|_| Lost::Silent)??;
+        // What does not answer this question is passed over.
+        if length >= 2 && buffer[..2] == id.to_be_bytes() {
+            buffer.truncate(length);
+            return Ok(buffer);
+        }
+    }
+}
+
+fn engines(answer: &dns::Answer, clock: &Clock) -> Result<(u32, Vec<Engine>), Lost> {
+    let mut engines = Vec::with_capacity(answer.services.len());
+    for service in &answer.services {
+        let mut labels = service.target.split('.');
+        let name = labels.next().filter(|name| !name.is_empty()).ok_or(Unusable::Missing("name"))?;
+        let zone = labels.next().ok_or(Unusable::Missing("zone"))?;
+        let address = answer.addresses.get(&service.target).ok_or(Unusable::Missing("address"))?;
+        let no_text = Vec::new();
+        let texts = answer.texts.get(&service.target).unwrap_or(&no_text);
+        let text = |name: &str| {
+            texts.iter().find_map(|text| text.strip_prefix(name).and_then(|rest| rest.strip_prefix('=')))
+        };
+        let since: i64 = text("started").and_then(|told| told.parse().ok()).unwrap_or(0);
+        engines.push(Engine {
+            name: name.to_owned(),
+            address: SocketAddr::from((Ipv4Addr::from(*address), service.port)),
+            zone: zone.to_owned(),
+            kind: text("kind").unwrap_or("").to_owned(),
+            cell: text("cell").and_then(|told| told.parse().ok()),
+            state: if service.priority == 0 { EngineState::Ready } else { EngineState::Draining },
+            weight: f64::from(service.weight) / 10.0,
+            started: (since != 0).then(|| clock.from_unix_ms(since)),
+        });
+    }
+    let serial = answer.serial.ok_or(Unusable::Missing("serial"))?;
+    Ok((serial, engines))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn engine(name: &str, state: EngineState) -> Engine {
+        Engine {
+            name: name.to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            zone: "a".to_owned(),
+            kind: "std".to_owned(),
+            cell: None,
+            state,
+            weight: 1.0,
+            started: None,
+        }
+    }
+
+    #[test]
+    fn an_answer_that_came_late_changes_nothing() {
+        let mut listed = Listed::default();
+        listed.start(4, true, vec![engine("x", EngineState::Ready)]);
+        assert_eq!(listed.update(6, vec![engine("x", EngineState::Draining)]).len(), 1);
+        assert!(listed.update(5, vec![engine("x", EngineState::Ready)]).is_empty());
+        let gone = listed.update(7, vec![]);
+        assert_eq!((gone.len(), gone[0].state), (1, EngineState::Gone));
+    }
+}
--- /dev/null
+++ b/src/front/http/mod.rs
@@ -0,0 +1,257 @@
+//! The platform's front: HTTP/1.1, one call on a connection at a time.
+
+pub mod message;
+mod pages;
+
+use self::message::{Request, Response, Unreadable};
+use self::pages::Pages;
+use super::Door;
+use crate::clock::Micros;
+use crate::core::{Answer, Arrival, Input, Invalid, Row};
+use crate::service::Handle;
+use bytes::BytesMut;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, oneshot};
+
+/// A client that has begun a request must have sent all of it by then, and one without any is let go.
+const READ_TIME: Duration = Duration::from_secs(10);
+const IDLE_TIME: Duration = Duration::from_secs(60);
+/// What a client may send ahead while its answer is awaited.
+const MOST_AHEAD: usize = 64 * 1024;
+
+/// What every connection of this front knows.
+#[derive(Debug)]
+pub struct Http {
+    handle: Handle,
+    door: Door,
+    pages: Mutex<Pages>,
+    page_bytes: usize,
+}
+
+impl Http {
+    /// A front that hands requests to the service, and splits results of more than so many bytes.
+    pub fn new(handle: Handle, door: Door, page_bytes: usize) -> Arc<Http> {
+        Arc::new(Http { handle, door, pages: Mutex::default(), page_bytes })
+    }
+}
+
+/// Accepts connections until it is dropped.
+pub async fn serve(listener: TcpListener, front: Arc<Http>, most: usize) {
+    let places = Arc::new(Semaphore::new(most));
+    loop {
+        let Ok(place) = places.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let front = front.clone();
+                tokio::spawn(async move {
+                    if let Err(error) = connection(stream, &front).await {
+                        log::debug!("client connection: {error}");
+                    }
+                    drop(place);
+                });
+            }
+            Err(error) => {
+                // No descriptor is left: those in use come back soon.
+                log::error!("a client's connection can't be accepted: {error}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// Reads the next request; `None` where the client closed, or sent none for long.
+pub async fn read_request(
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+) -> std::io::Result<Option<Result<Request, Unreadable>>> {
+    let mut told = false;
+    loop {
+        match message::read_head(buffer) {
+            Err(error) => return Ok(Some(Err(error))),
+            Ok(Some(head)) => {
+                let expects = head.expects && !told;
+                match head.take(buffer) {
+                    Ok(request) => return Ok(Some(Ok(request))),
+                    Err(_) if expects => {
+                        told = true;
+                        stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+                    }
+                    Err(_) => {}
+                }
+            }
+            Ok(None) => {}
+        }
+        let wait = if buffer.is_empty() { IDLE_TIME } else { READ_TIME };
+        match tokio::time::timeout(wait, stream.read_buf(buffer)).await {
+            Ok(Ok(1..)) => {}
+            Ok(Err(error)) => return Err(error),
+            Ok(Ok(0)) | Err(_) => return Ok(None),
+        }
+    }
+}
+
+async fn connection(mut stream: TcpStream, front: &Http) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut buffer = BytesMut::with_capacity(4096);
+    while let Some(read) = read_request(&mut stream, &mut buffer).await? {
+        let counted = front.door.count();
+        let (response, close) = match read {
+            Ok(request) => match front.call(&mut stream, &mut buffer, &request).await {
+                Some(response) => (response, request.close),
+                None => return Ok(()),
+            },
+            Err(error) => (unusable(error.status(), &error.to_string()), true),
+        };
+        stream.write_all(&response.bytes(close)).await?;
+        drop(counted);
+        if close {
+            return stream.shutdown().await;
+        }
+    }
+    Ok(())
+}
+
+fn unusable(status: u16, why: &str) -> Response {
+    Response::json(status, serde_json::json!({ "fault": "Unusable", "why": why }).to_string())
+}
+
+fn field<'a>(request: &'a Request, name: &str) -> Result<&'a str, Response> {
+    request.field(name).ok_or_else(|| unusable(400, &format!("{name} is missing")))
+}
+
+impl Http {
+    async fn call(
+        &self,
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+        request: &Request,
+    ) -> Option<Response> {
+        match (request.method.as_str(), request.target.as_str()) {
+            ("GET", "/check") if self.door.is_ready() => Some(Response::json(200, "{}".to_owned())),
+            ("GET", "/check") => Some(unusable(503, "not ready")),
+            ("POST", target) => match target.strip_prefix("/do/") {
+                Some(class) => match self.arrival(class, request) {
+                    Ok(arrival) => self.ask(stream, buffer, arrival).await,
+                    Err(response) => Some(response),
+                },
+                None => Some(unusable(404, "no such path")),
+            },
+            ("GET" | "DELETE", target) => {
+                let mut pages = self.pages.lock().unwrap_or_else(PoisonError::into_inner);
+                let found = match request.method.as_str() {
+                    "GET" => pages.get(target),
+                    _ => pages.remove(target).then(|| "{}".to_owned()),
+                };
+                Some(found.map_or_else(|| unusable(404, "no such path"), |body| Response::json(200, body)))
+            }
+            _ => Some(unusable(405, "no such method")),
+        }
+    }
+
+    fn arrival(&self, class: &str, request: &Request) -> Result<Arrival, Response> {
+        let name = field(request, "X-Txn")?;
+        if name.len() != 16 || !name.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(unusable(400, "X-Txn must be 16 hex digits"));
+        }
+        let ttl = message::whole_number(field(request, "X-Ttl-Ms")?);
+        let ttl = ttl.ok_or_else(|| unusable(400, "X-Ttl-Ms must be a whole number"))?;
+        let statement = std::str::from_utf8(&request.body);
+        let statement = statement.map_err(|_| unusable(400, "the statement must be UTF-8"))?;
+        Ok(Arrival {
+            request: 0,
+            name: name.to_owned(),
+            class: class.to_owned(),
+            tenant: request.field("X-Merchant").map(str::to_owned),
+            key: request.field("X-Txn-Key").map(str::to_owned),
+            statement: statement.into(),
+            left: Micros::from_ms(ttl as f64),
+        })
+    }
+
+    /// Hands a request over and waits for its answer; `None` where the client left first.
+    async fn ask(&self, stream: &mut TcpStream, buffer: &mut BytesMut, arrival: Arrival) -> Option<Response> {
+        let name = arrival.name.clone();
+        let Ok(mut asked) = self.handle.ask(arrival).await else { return Some(failed()) };
+        loop {
+            tokio::select! {
+                answer = &mut asked.answer => return Some(self.response(&name, answer)),
+                read = stream.read_buf(buffer), if buffer.len() < MOST_AHEAD => {
+                    // A client that stops waiting closes its connection.
+                    if !matches!(read, Ok(1..)) {
+                        let _ended = self.handle.tell(Input::Left(asked.request)).await;
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
+    fn response(&self, name: &str, answer: Result<Answer, oneshot::error::RecvError>) -> Response {
+        match answer {
+            Ok(Answer::Served(table)) => {
+                let mut pages = split(&table.rows, self.page_bytes);
+                if pages.len() == 1 {
+                    return Response::json(200, body(&pages.remove(0), None));
+                }
+                let mut kept = self.pages.lock().unwrap_or_else(PoisonError::into_inner);
+                Response::json(200, kept.keep(name, pages))
+            }
+            Ok(Answer::Refused { retry_after }) => refused(retry_after),
+            Ok(Answer::Failed) | Err(_) => failed(),
+            Ok(Answer::Cancelled) => Response::json(500, r#"{"fault":"Cancelled"}"#.to_owned()),
+            Ok(Answer::Invalid(why)) => {
+                let status = match why {
+                    Invalid::Class(_) => 404,
+                    Invalid::Duplicate => 409,
+                    _ => 400,
+                };
+                unusable(status, &why.to_string())
+            }
+        }
+    }
+}
+
+fn failed() -> Response {
+    Response::json(500, r#"{"fault":"Crashed"}"#.to_owned())
+}
+
+/// A refusal says when to come back: in whole seconds, as HTTP has it, and in milliseconds.
+fn refused(retry_after: Micros) -> Response {
+    let response = Response::json(503, r#"{"fault":"Rejected"}"#.to_owned());
+    if retry_after.0 <= 0 {
+        return response;
+    }
+    let ms = retry_after.0 / 1000;
+    response.with("Retry-After", ((ms + 999) / 1000).to_string()).with("X-Throttle-Ms", ms.to_string())
+}
+
+/// A page's body.
+fn body(rows: &str, more: Option<&str>) -> String {
+    match more {
+        Some(path) => format!("{{\"more\":\"{path}\",\"result\":[{rows}]}}"),
+        None => format!("{{\"result\":[{rows}]}}"),
+    }
+}
+
+/// The rows as JSON, in pages of at most so many bytes, or one row.
+fn split(rows: &[Row], most: usize) -> Vec<String> {
+    let mut pages = vec![String::new()];
+    for row in rows {
+        // Text always has a JSON form.
+        let text = serde_json::to_string(row).unwrap_or_default();
+        let full = pages.last().is_some_and(|page| !page.is_empty() && page.len() + text.len() > most);
+        if full {
+            pages.push(String::new());
+        }
+        if let Some(page) = pages.last_mut() {
+            if !page.is_empty() {
+                page.push(',');
+            }
+            page.push_str(&text);
+        }
+    }
+    pages
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,8 +37,17 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod back;
+pub mod clock;
+pub mod config;
+pub mod core;
+pub mod discovery;
+pub mod front;
 pub mod interface;
 pub mod logic;
+pub mod service;
+pub mod settings;
+pub mod statement;
 
 pub use interface::*;
 pub use logic::Gateway;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,102 @@
+//! The workload manager on real sockets.
+#![forbid(unsafe_code)]
+
+use reedarch::back::{Backs, Limits, Wire};
+use reedarch::clock::{Clock, Micros};
+use reedarch::config::Config;
+use reedarch::core::{Core, EngineNews, Input};
+use reedarch::discovery;
+use reedarch::front::Door;
+use reedarch::front::http::{self, Http};
+use reedarch::service::{self, Handle};
+use std::process::ExitCode;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// After SIGTERM clients still come for so long, and are served like any other.
+const STILL_COMING: Duration = Duration::from_millis(800);
+/// Time in which the last answers leave the machine.
+const LAST_WORDS: Duration = Duration::from_millis(50);
+/// An engine that owes word and says nothing for so long is gone; pauses are far shorter.
+const SILENT_AFTER: Micros = Micros(3_000_000);
+/// Descriptors that are not for clients: engines, the name service, files.
+const RESERVED: usize = 160;
+/// Connections to one engine.
+const MOST_CONNECTIONS: usize = 8;
+
+/// Why the program can't go on.
+#[derive(Debug, Error)]
+enum Fatal {
+    #[error("{0}")]
+    Config(#[from] reedarch::config::ConfigError),
+    #[error("listen: can't listen on {0}: {1}")]
+    Listen(std::net::SocketAddr, std::io::Error),
+    #[error("{0}")]
+    System(#[from] std::io::Error),
+    #[error("{0}")]
+    Ended(#[from] service::Ended),
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let result = runtime.map_err(Fatal::from).and_then(|runtime| runtime.block_on(run()));
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fatal) => {
+            log::error!("{fatal}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<(), Fatal> {
+    let clock = Clock::start();
+    let config = Config::from_env(&clock)?;
+    let mut terminated = signal(SignalKind::terminate())?;
+    let (handle, queue) = Handle::new();
+    let limits = Limits {
+        connect_timeout: Micros::from_ms(config.connect_ms).to_duration(),
+        probe_timeout: Micros::from_ms(config.connect_ms),
+        silent_after: SILENT_AFTER,
+        // A little before the engine does, so that no request crosses its close.
+        idle_after: Micros::from_ms(config.keepalive_ms * 0.8),
+        streams: config.streams,
+        connections: MOST_CONNECTIONS,
+    };
+    let backs = Backs::new(Wire::Lines, handle.clone(), clock, limits);
+    let core = Core::new(config.front, config.max_open, config.seed, clock.now());
+    tokio::spawn(service::run(core, clock, queue, backs));
+    handle.tell(Input::Engines(EngineNews::Start(config.listed.engines()))).await?;
+    if let Some(resolver) = config.resolver {
+        let (listed, seed) = (config.listed, config.seed);
+        tokio::spawn(discovery::run(resolver, config.service, listed, handle.clone(), clock, seed));
+    }
+    let door = Door::default();
+    let mut fronts = Vec::new();
+    if let Some(address) = config.listen {
+        let listener = TcpListener::bind(address).await.map_err(|error| Fatal::Listen(address, error))?;
+        let front = Http::new(handle.clone(), door.clone(), config.page_bytes);
+        fronts.push(tokio::spawn(http::serve(
+            listener,
+            front,
+            config.sockets - config.sockets.min(RESERVED) / 2,
+        )));
+    }
+    door.open();
+    log::info!("{} is ready", config.name);
+    terminated.recv().await;
+    log::info!("SIGTERM: finishing what is open");
+    door.stop();
+    tokio::time::sleep(STILL_COMING).await;
+    handle.tell(Input::RefuseNew).await?;
+    fronts.iter().for_each(|front| front.abort());
+    while handle.open().await? > 0 || door.unanswered() > 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(LAST_WORDS).await;
+    log::info!("all is answered");
+    Ok(())
+}
--- a/src/bin/reedarch-drill/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
-//! The settings of one front, from the wire's JSON to the library's terms.
+//! The settings of one workload manager, from the platform's JSON to the module's terms.
 
-use reedarch::{
+use crate::interface::{
     ClassSettings, DedupScope, Effect, EngineTraits, KindId, KindSettings, Limits, MemoryShort, RetryBudget,
     Rules, Settings, TenantSettings, ZoneId,
 };
@@ -41,8 +41,6 @@
     #[serde(default)]
     probes: bool,
     #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
     second_copies: bool,
 }
 
@@ -118,12 +116,18 @@
     resend_span_ms: Option<f64>,
 }
 
-/// Settings of one front, with the names by which the wire calls things.
+/// Settings of one workload manager, with the names by which the wire calls things.
+#[derive(Debug, Clone)]
 pub struct Front {
+    /// What the module is told.
     pub settings: Settings,
+    /// Names of the classes, by number.
     pub classes: Vec<String>,
+    /// Names of the tenants, by number.
     pub tenants: Vec<String>,
+    /// Names of the kinds of machine, by number.
     pub kinds: Vec<String>,
+    /// Names of the zones, by number.
     pub zones: Vec<String>,
     /// What `x0` and `x1` mean in a load report is fixed by the wire; other columns carry names.
     pub columns: Vec<String>,
@@ -211,7 +215,8 @@
             cancel: env.allowed.cancel,
             probes: env.allowed.probes,
             second_copies: env.allowed.second_copies,
-            max_retry_after_ms: env.allowed.max_retry_after_ms.filter(|_| env.allowed.retry_after),
+            // Advice to stay away goes out wherever a longest one is told: who can't read it passes over it.
+            max_retry_after_ms: env.allowed.max_retry_after_ms,
         },
         rules: Rules {
             cold_fraction: env.safety.cold_from,
