Hold a load back while an own load holds its data set on every engine

At fault: pick() and has_room() in logic.rs took no notice of the data set. Ruled out: queueing in the program (median 90 us to the first attempt), engines' cores (38% of them asked for).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -211,6 +211,18 @@
         self.decide(now, Event::List(news), out);
     }
 
+    /// One line on what is open, for the log: of each class how many wait and how many are out.
+    pub fn state_line(&self) -> String {
+        let mut counts = vec![(0, 0); self.front.classes.len()];
+        for open in self.requests.values() {
+            let (held, out) = &mut counts[open.class];
+            *(if open.standing == Standing::Held { held } else { out }) += 1;
+        }
+        let parts = self.front.classes.iter().zip(counts);
+        let parts: Vec<String> = parts.map(|(name, (held, out))| format!("{name} {held}+{out}")).collect();
+        format!("open (held+out): {}", parts.join(", "))
+    }
+
     /// What the administration API shows.
     pub fn report(&self, now: Micros) -> Report {
         let mut engines: Vec<EngineReport> = self
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -88,6 +88,7 @@
     work: Millis,
     memory: f64,
     rank: i64, // place in its queue, in microseconds
+    data_set: Option<u64>, // the one that a load holds while it runs
     beyond_share: bool,
     late: bool,
     sent: u32,
@@ -110,6 +111,7 @@
     at: Millis,
     class: usize,
     load: Load,
+    data_set: Option<u64>,
     key: Option<OrderKey>,
 }
 
@@ -127,6 +129,7 @@
     failures: u32,
     down_since: Option<Millis>,
     rest_until: Millis,
+    loading: Vec<u64>,   // data sets that own loads hold here: another load on one would stand still
     probe: Option<Load>, // what was running when the probe that is out was sent
     recent: VecDeque<(Millis, Millis)>, // class weights sent while cold, for the cold budget
 }
@@ -381,6 +384,7 @@
             aim_at: self.now + class.aim(work).min(stats.patience),
             work,
             memory: request.memory_mb.unwrap_or(stats.memory),
+            data_set: class.is_load.then_some(request.data_set),
             rank: rank(self.now + due + if beyond_share { 2.0 * BAND_MS } else { 0.0 }),
             beyond_share,
             ..Job::default()
@@ -408,7 +412,11 @@
     fn on_end(&mut self, end: &AttemptEnd) {
         let Some(attempt) = self.attempts.remove(&(end.request, end.attempt)) else { return };
         let id = end.request;
-        self.engines.entry(attempt.engine).and_modify(|engine| engine.own.add(attempt.load, -1.0));
+        self.engines.entry(attempt.engine).and_modify(|engine| {
+            engine.own.add(attempt.load, -1.0);
+            let held = engine.loading.iter().position(|set| Some(*set) == attempt.data_set);
+            held.map(|at| engine.loading.swap_remove(at));
+        });
         self.note_report(attempt.engine, end.report);
         if end.outcome == Outcome::Served {
             self.learn(&attempt, end);
@@ -556,7 +564,14 @@
         let mut turns: Vec<(i64, f64, usize)> = heads.collect();
         turns.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         for (_, turn, index) in turns {
-            let heads: Vec<_> = self.tenants[index].waiting.iter().take(SCAN).map(|(_, id)| *id).collect();
+            // Loads whose data set is held on every engine do not count: they would block all behind them.
+            let stands = |set: u64| {
+                let mut ready = self.engines.values().filter(|to| to.entry.state == EngineState::Ready);
+                ready.all(|to| to.loading.contains(&set))
+            };
+            let heads = self.tenants[index].waiting.iter().map(|(_, id)| *id);
+            let heads = heads.filter(|id| !self.jobs[id].data_set.is_some_and(stands)).take(SCAN);
+            let heads: Vec<_> = heads.collect();
             if let Some(id) = heads.into_iter().find(|id| self.try_send(*id)) {
                 let share = self.settings.tenants.get(index).map_or(1.0, |told| told.share.max(0.01));
                 // An idle tenant saves up no turns: it is moved along with the one that is served.
@@ -616,7 +631,8 @@
         let held = engine.own.memory + engine.others * mix.memory;
         let empty = engine.own.queries + engine.others < 1.0;
         let crammed = !empty && held + job.memory > MEMORY_FULL * engine.memory_mb;
-        if unproven || crammed || self.now < engine.rest_until {
+        let standing = job.data_set.is_some_and(|set| engine.loading.contains(&set));
+        if unproven || crammed || standing || self.now < engine.rest_until {
             return false;
         }
         let total = engine.own.threads + engine.others * mix.threads;
@@ -718,7 +734,9 @@
             engine.recent.retain(|(at, _)| *at > since);
             engine.recent.push_back((self.now, self.classes[job.class].work));
         }
-        let attempt = Attempt { engine: to, at: self.now, class: job.class, load, key: job.key };
+        engine.loading.extend(job.data_set);
+        let (class, data_set) = (job.class, job.data_set);
+        let attempt = Attempt { engine: to, at: self.now, class, load, data_set, key: job.key };
         self.attempts.insert((id, job.sent), attempt);
         job.sent += 1;
         self.out.push(Action::Send { request: id, engine: to, timeout_ms: 0.0 });
--- a/src/service.rs
+++ b/src/service.rs
@@ -2,7 +2,7 @@
 //! bounded channel, and hands on what the core wants done.
 
 use crate::back::Backs;
-use crate::clock::Clock;
+use crate::clock::{Clock, Micros};
 use crate::core::{Answer, Arrival, Command, Core, Input, Report};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,6 +12,8 @@
 
 /// What may wait for the core at once; who sends more waits.
 const QUEUE: usize = 4096;
+/// Time between two lines on the state in the log.
+const STATE_EVERY: Micros = Micros(1_000_000);
 /// What the core takes in one turn.
 const TURN: usize = 256;
 
@@ -94,6 +96,7 @@
     let mut replies: HashMap<u64, oneshot::Sender<Answer>> = HashMap::new();
     let mut messages = Vec::with_capacity(TURN);
     let mut commands = Vec::new();
+    let mut state_at = clock.now() + STATE_EVERY;
     loop {
         let wake = core.next_wake().map(|at| clock.instant(at));
         tokio::select! {
@@ -113,6 +116,10 @@
                 Message::Open(reply) => drop(reply.send(core.open())),
             }
         }
+        if now >= state_at {
+            state_at = now + STATE_EVERY;
+            log::info!("{}", core.state_line());
+        }
         core.handle(now, Input::Clock, &mut commands);
         while !commands.is_empty() {
             let mut bounced = Vec::new();
