--- a/src/back/lines/mod.rs
+++ b/src/back/lines/mod.rs
@@ -3,6 +3,8 @@
 mod connection;
 mod parse;
 
+pub use parse::load_report;
+
 use super::{Order, Uplink};
 use crate::core::ConnectionEnd;
 use std::net::SocketAddr;
--- a/src/back/mod.rs
+++ b/src/back/mod.rs
@@ -1,6 +1,7 @@
 //! The way to the engines: one task for each engine, which keeps its connections.
 
 pub mod lines;
+pub mod tds;
 
 use crate::clock::{Clock, Micros};
 use crate::core::{AttemptNews, Call, Command, ConnectionEnd, Input};
@@ -37,6 +38,8 @@
 pub enum Wire {
     /// The platform's lines.
     Lines,
+    /// TDS, with these words for the login.
+    Tds(tds::Login),
 }
 
 /// Figures for connections to engines.
@@ -166,6 +169,7 @@
         let uplink = Uplink { engine, handle, clock: self.clock, limits };
         match &self.wire {
             Wire::Lines => tokio::spawn(lines::run(uplink, address, orders)),
+            Wire::Tds(login) => tokio::spawn(tds::run(uplink, address, orders, login.clone())),
         };
         self.links.insert(engine, link);
     }
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -54,6 +54,11 @@
         Clock { origin: Instant::now(), origin_unix_us: i64::try_from(unix.as_micros()).unwrap_or(i64::MAX) }
     }
 
+    /// A seed for where none is told: no two starts have the same.
+    pub fn seed(&self) -> u64 {
+        self.origin_unix_us.unsigned_abs()
+    }
+
     /// The time now.
     pub fn now(&self) -> Micros {
         Micros(i64::try_from(self.origin.elapsed().as_micros()).unwrap_or(i64::MAX))
--- a/src/config.rs
+++ b/src/config.rs
@@ -2,11 +2,14 @@
 //! `LB_CONFIG` (a JSON file), `LB_NAME` and `LB_LISTEN`; elsewhere in an operator's TOML file, named by
 //! `SANDDYKE_CONFIG`. A message names the key that can't be used.
 
-use crate::clock::Clock;
+use crate::back::Wire;
+use crate::clock::{Clock, Micros};
 use crate::core::Engine;
+use crate::directory::{Directory, Ldap};
 use crate::discovery::Listed;
 use crate::interface::EngineState;
 use crate::settings::{self, Front};
+use crate::tds::login::Login;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -79,6 +82,34 @@
     pub keepalive_ms: f64,
     /// Results above this many bytes go out in pages.
     pub page_bytes: usize,
+    /// What engines speak.
+    pub wire: Wire,
+    /// The TDS front, if there is one.
+    pub tds: Option<TdsFront>,
+    /// The administration API, if there is one.
+    pub admin: Option<AdminApi>,
+}
+
+/// The TDS front.
+#[derive(Debug)]
+pub struct TdsFront {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// The class of a request that names none.
+    pub class: String,
+    /// The time budget of one that names none.
+    pub budget: Micros,
+    /// Who belongs to which tenant.
+    pub directory: Directory,
+}
+
+/// The administration API.
+#[derive(Debug)]
+pub struct AdminApi {
+    /// Where operators connect.
+    pub listen: SocketAddr,
+    /// The token that they carry.
+    pub token: String,
 }
 
 fn want<T: DeserializeOwned>(value: &Value, key: &str) -> Result<Option<T>, ConfigError> {
@@ -124,8 +155,10 @@
     pub fn from_value(value: &Value, clock: &Clock) -> Result<Config, ConfigError> {
         let settings = value.get("settings").ok_or_else(|| bad("settings", "missing"))?;
         let front = settings::parse(&settings.to_string()).map_err(|why| bad("settings", why))?;
-        let seed = want::<String>(value, "seed")?.unwrap_or_else(|| "0".to_owned());
-        let seed = u64::from_str_radix(&seed, 16).map_err(|error| bad("seed", error))?;
+        let seed = match want::<String>(value, "seed")? {
+            Some(told) => u64::from_str_radix(&told, 16).map_err(|error| bad("seed", error))?,
+            None => clock.seed(),
+        };
         let limits = value.get("limits").cloned().unwrap_or(Value::Null);
         let sockets = want::<usize>(&limits, "sockets").map_err(|error| bad("limits", error))?;
         let sockets = sockets.unwrap_or(DEFAULT_SOCKETS);
@@ -136,6 +169,9 @@
         if page_bytes == 0 {
             return Err(bad("page_bytes", "must be above 0"));
         }
+        let tds = tds_front(value, &front)?;
+        let admin = admin_api(value)?;
+        let wire = wire(value)?;
         Ok(Config {
             name: want(value, "name")?.unwrap_or_else(|| "sanddyke".to_owned()),
             listen: want(value, "listen")?,
@@ -150,10 +186,98 @@
             connect_ms: number(settings, "connectTimeoutMs", DEFAULT_CONNECT_MS, 1.0)?,
             keepalive_ms: number(settings, "keepaliveMs", DEFAULT_KEEPALIVE_MS, 100.0)?,
             page_bytes,
+            wire,
+            tds,
+            admin,
         })
     }
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TdsKeys {
+    listen: SocketAddr,
+    default_class: Option<String>,
+    default_ttl_ms: Option<f64>,
+}
+
+/// Wires without encryption carry passwords: they stay on the machine.
+fn loopback(key: &str, address: SocketAddr) -> Result<SocketAddr, ConfigError> {
+    match address.ip().is_loopback() {
+        true => Ok(address),
+        false => Err(bad(key, format!("must be a loopback address, is {address}"))),
+    }
+}
+
+fn tds_front(value: &Value, front: &Front) -> Result<Option<TdsFront>, ConfigError> {
+    let ldap = want::<Ldap>(value, "ldap")?;
+    let Some(keys) = want::<TdsKeys>(value, "tds")? else { return Ok(None) };
+    let class = keys.default_class.or(front.classes.first().cloned());
+    let class = class.ok_or_else(|| bad("settings.classes", "empty"))?;
+    let known = front.classes.iter().position(|name| *name == class);
+    let known = known.ok_or_else(|| bad("tds.default_class", format!("unknown class {class:?}")))?;
+    let budget = keys.default_ttl_ms.unwrap_or(front.settings.classes[known].deadline_ms);
+    if budget < 1.0 {
+        return Err(bad("tds.default_ttl_ms", "must be at least 1"));
+    }
+    let tenants = front.tenants.clone();
+    let directory = match ldap {
+        Some(ldap) => {
+            let local = ["ldap://127.", "ldap://localhost", "ldap://[::1]"];
+            if !local.iter().any(|start| ldap.url.starts_with(start)) {
+                return Err(bad("ldap.url", "must be ldap:// on a loopback address"));
+            }
+            Directory::Ldap(ldap, tenants)
+        }
+        None => Directory::Database(tenants),
+    };
+    let listen = loopback("tds.listen", keys.listen)?;
+    Ok(Some(TdsFront { listen, class, budget: Micros::from_ms(budget), directory }))
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AdminKeys {
+    listen: SocketAddr,
+    token_file: PathBuf,
+}
+
+fn admin_api(value: &Value) -> Result<Option<AdminApi>, ConfigError> {
+    let Some(keys) = want::<AdminKeys>(value, "admin")? else { return Ok(None) };
+    let token = read("admin.token_file", &keys.token_file)?.trim().to_owned();
+    if token.len() < 16 {
+        return Err(bad("admin.token_file", "must hold a token of at least 16 characters"));
+    }
+    Ok(Some(AdminApi { listen: loopback("admin.listen", keys.listen)?, token }))
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EngineKeys {
+    wire: String,
+    #[serde(default)]
+    user: String,
+    password_file: Option<PathBuf>,
+    #[serde(default)]
+    database: String,
+}
+
+fn wire(value: &Value) -> Result<Wire, ConfigError> {
+    let Some(keys) = want::<EngineKeys>(value, "engines")? else { return Ok(Wire::Lines) };
+    match keys.wire.as_str() {
+        "lines" => Ok(Wire::Lines),
+        "tds" => {
+            let password = match &keys.password_file {
+                Some(path) => read("engines.password_file", path)?.trim().to_owned(),
+                None => String::new(),
+            };
+            let app = "sanddyke".to_owned();
+            Ok(Wire::Tds(Login { user: keys.user, password, app, database: keys.database }))
+        }
+        other => Err(bad("engines.wire", format!("must be lines or tds, is {other:?}"))),
+    }
+}
+
 #[derive(Deserialize)]
 struct Notice {
     rev: u32,
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! The ways in: each front reads its own wire, hands requests over, and writes their answers.
 
 pub mod http;
+pub mod tds;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
--- /dev/null
+++ b/src/front/tds/mod.rs
@@ -0,0 +1,276 @@
+//! The TDS front: logins, batches and calls of `sp_executesql` on the same core as HTTP. What travels how,
+//! and the numbers of the errors, stands in `docs/tds.md`.
+
+use super::Door;
+use crate::clock::Micros;
+use crate::core::{Answer, Arrival, Input};
+use crate::directory::Directory;
+use crate::service::Handle;
+use crate::statement;
+use crate::tds::login;
+use crate::tds::packet::{self, Message, Messages};
+use crate::tds::token::{self, To};
+use bytes::BytesMut;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+/// Refused: the number that clients know as "busy, retry later".
+pub const REFUSED: u32 = 40501;
+/// The login failed.
+pub const LOGIN_FAILED: u32 = 18456;
+/// Failed, with no promise.
+pub const FAILED: u32 = 50010;
+/// The request could not be used.
+pub const UNUSABLE: u32 = 50011;
+/// Ended by an operator.
+pub const CANCELLED: u32 = 50012;
+
+const LOGIN_TIME: Duration = Duration::from_secs(15);
+const IDLE_TIME: Duration = Duration::from_secs(1800);
+
+/// What every connection of this front knows.
+#[derive(Debug)]
+pub struct Tds {
+    /// The way to the core.
+    pub handle: Handle,
+    /// What the fronts share.
+    pub door: Door,
+    /// Who belongs to which tenant.
+    pub directory: Directory,
+    /// The class of a request that names none.
+    pub class: String,
+    /// The time budget of one that names none.
+    pub budget: Micros,
+    /// Where the names of requests begin.
+    pub seed: u64,
+    /// Requests named so far.
+    pub named: AtomicU64,
+}
+
+/// Accepts connections until it is dropped.
+pub async fn serve(listener: TcpListener, front: Arc<Tds>, most: usize) {
+    let places = Arc::new(Semaphore::new(most));
+    loop {
+        let Ok(place) = places.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let front = front.clone();
+                tokio::spawn(async move {
+                    if let Err(error) = Connection::new(stream, &front).run().await {
+                        log::debug!("TDS connection: {error}");
+                    }
+                    drop(place);
+                });
+            }
+            Err(error) => {
+                log::error!("a TDS connection can't be accepted: {error}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+struct Connection<'a> {
+    stream: TcpStream,
+    received: BytesMut,
+    messages: Messages,
+    front: &'a Tds,
+}
+
+/// What came while an answer was awaited.
+enum Waited {
+    Answer(Answer),
+    Attention,
+    Gone,
+}
+
+type Io<T> = std::io::Result<T>;
+
+fn malformed(error: crate::tds::Malformed) -> std::io::Error {
+    std::io::Error::new(std::io::ErrorKind::InvalidData, error)
+}
+
+impl<'a> Connection<'a> {
+    fn new(stream: TcpStream, front: &'a Tds) -> Connection<'a> {
+        Connection { stream, received: BytesMut::with_capacity(8192), messages: Messages::default(), front }
+    }
+
+    async fn run(mut self) -> Io<()> {
+        self.stream.set_nodelay(true)?;
+        let login = tokio::time::timeout(LOGIN_TIME, self.login());
+        let Some(tenant) = login.await.map_err(|_| std::io::ErrorKind::TimedOut)?? else { return Ok(()) };
+        loop {
+            let next = tokio::time::timeout(IDLE_TIME, self.next()).await;
+            let Some(message) = next.map_err(|_| std::io::ErrorKind::TimedOut)?? else { return Ok(()) };
+            if !self.request(message, &tenant).await? {
+                return Ok(());
+            }
+        }
+    }
+
+    /// The next message; `None` where the client closed.
+    async fn next(&mut self) -> Io<Option<Message>> {
+        loop {
+            if let Some(message) = self.messages.next(&mut self.received).map_err(malformed)? {
+                return Ok(Some(message));
+            }
+            if self.stream.read_buf(&mut self.received).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    async fn say(&mut self, data: &[u8]) -> Io<()> {
+        self.stream.write_all(&packet::message(packet::RESULT, data)).await
+    }
+
+    /// PRELOGIN and LOGIN7: the tenant, or `None` where the login is not granted.
+    async fn login(&mut self) -> Io<Option<String>> {
+        let Some(first) = self.next().await? else { return Ok(None) };
+        let asked = match first.kind {
+            packet::PRELOGIN => login::read_prelogin(&first.data).map_err(malformed)?,
+            _ => return Ok(None),
+        };
+        self.say(&login::prelogin()).await?;
+        // A client that insists on encryption ends here: this wire has none.
+        if asked.is_some_and(|asked| asked == 1 || asked == 3) {
+            log::info!("TDS: a client wants encryption, which this listener does not have");
+            return Ok(None);
+        }
+        let Some(second) = self.next().await? else { return Ok(None) };
+        if second.kind != packet::LOGIN7 {
+            return Ok(None);
+        }
+        let told = login::read_login(&second.data).map_err(malformed)?;
+        match self.front.directory.tenant(&told).await {
+            Ok(tenant) => {
+                self.say(&token::login_ack(&tenant)).await?;
+                Ok(Some(tenant))
+            }
+            Err(denied) => {
+                log::info!("TDS: login denied: {denied}");
+                let text = "Login failed.";
+                self.say(&token::error(To::Batch, LOGIN_FAILED, 14, text)).await?;
+                Ok(None)
+            }
+        }
+    }
+
+    /// Serves one request; false where the connection ends.
+    async fn request(&mut self, message: Message, tenant: &str) -> Io<bool> {
+        let counted = self.front.door.count();
+        let (to, statement) = match message.kind {
+            packet::SQL_BATCH => (To::Batch, token::read_batch(&message.data)),
+            packet::RPC => (To::Call, token::read_call(&message.data)),
+            packet::ATTENTION => {
+                // Its request was answered before it came: the word on it is still owed.
+                self.say(&token::attention_done()).await?;
+                return Ok(true);
+            }
+            kind => {
+                let text = format!("messages of type {kind} are not taken here");
+                self.say(&token::error(To::Batch, UNUSABLE, 16, &text)).await?;
+                return Ok(true);
+            }
+        };
+        let arrival = match statement.map_err(|error| error.to_string()) {
+            Ok(statement) => self.front.arrival(&statement, tenant),
+            Err(why) => Err(why),
+        };
+        let arrival = match arrival {
+            Ok(arrival) => arrival,
+            Err(why) => {
+                self.say(&token::error(to, UNUSABLE, 16, &why)).await?;
+                return Ok(true);
+            }
+        };
+        let alive = match self.ask(arrival).await? {
+            Waited::Answer(answer) => {
+                self.say(&written(to, answer)).await?;
+                true
+            }
+            Waited::Attention => {
+                self.say(&token::attention_done()).await?;
+                true
+            }
+            Waited::Gone => false,
+        };
+        drop(counted);
+        Ok(alive)
+    }
+
+    /// Hands a request over and waits for its answer, or until the client stops waiting for it.
+    async fn ask(&mut self, arrival: Arrival) -> Io<Waited> {
+        let Ok(mut asked) = self.front.handle.ask(arrival).await else {
+            return Ok(Waited::Answer(Answer::Failed));
+        };
+        let waited = loop {
+            tokio::select! {
+                answer = &mut asked.answer => {
+                    return Ok(Waited::Answer(answer.unwrap_or(Answer::Failed)));
+                }
+                read = self.stream.read_buf(&mut self.received) => {
+                    if !matches!(read, Ok(1..)) {
+                        break Waited::Gone;
+                    }
+                    match self.messages.next(&mut self.received) {
+                        Ok(None) => {}
+                        Ok(Some(message)) if message.kind == packet::ATTENTION => break Waited::Attention,
+                        // Only an attention may come before the answer.
+                        Ok(Some(_)) | Err(_) => break Waited::Gone,
+                    }
+                }
+            }
+        };
+        // The core stops the work; the answer, if one crosses this, is not written: the client gets one end.
+        let _ended = self.front.handle.tell(Input::Left(asked.request)).await;
+        Ok(waited)
+    }
+}
+
+impl Tds {
+    fn arrival(&self, statement: &str, tenant: &str) -> Result<Arrival, String> {
+        let hints = statement::hints(statement);
+        let hint = |name: &str| hints.iter().find(|(known, _)| *known == name).map(|(_, value)| *value);
+        let left = match hint("ttl_ms") {
+            Some(told) => {
+                let ms = crate::front::http::message::whole_number(told);
+                Micros::from_ms(ms.ok_or("ttl_ms must be a whole number")? as f64)
+            }
+            None => self.budget,
+        };
+        let number = self.named.fetch_add(1, Ordering::Relaxed);
+        // Distinct for distinct numbers, and unlike those of another start.
+        let name = (self.seed ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15)) as u128;
+        Ok(Arrival {
+            request: 0,
+            name: format!("{name:016x}"),
+            class: hint("class").unwrap_or(&self.class).to_owned(),
+            tenant: Some(tenant.to_owned()).filter(|tenant| !tenant.is_empty()),
+            key: hint("key").map(str::to_owned),
+            statement: statement.into(),
+            left,
+        })
+    }
+}
+
+fn written(to: To, answer: Answer) -> Vec<u8> {
+    match answer {
+        Answer::Served(table) => token::table(to, &table),
+        Answer::Refused { retry_after } => {
+            let seconds = (retry_after.0 + 999_999) / 1_000_000;
+            let text = format!(
+                "The service is currently busy. Retry the request after {seconds} seconds. retry_after_ms={}",
+                retry_after.0 / 1000
+            );
+            token::error(to, REFUSED, 16, &text)
+        }
+        Answer::Failed => token::error(to, FAILED, 16, "The request failed; it may have run."),
+        Answer::Cancelled => token::error(to, CANCELLED, 16, "The request was ended by an operator."),
+        Answer::Invalid(why) => token::error(to, UNUSABLE, 16, &why.to_string()),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,10 +37,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod admin;
 pub mod back;
 pub mod clock;
 pub mod config;
 pub mod core;
+pub mod directory;
 pub mod discovery;
 pub mod front;
 pub mod interface;
@@ -48,6 +50,7 @@
 pub mod service;
 pub mod settings;
 pub mod statement;
+pub mod tds;
 
 pub use interface::*;
 pub use logic::Gateway;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -292,7 +292,8 @@
             streams: classes.iter().flat_map(|class| (0..tenants).map(move |_| stream(class))).collect(),
             classes: classes.iter().map(stats).collect(),
             stuck: vec![false; classes.len()],
-            tenants: vec![Tenant::default(); tenants],
+            // A full burst at the start: no one has used any of a share yet. The first tick cuts it to size.
+            tenants: vec![Tenant { tokens: f64::INFINITY, ..Tenant::default() }; tenants],
             settings,
             rng: Rand64::new(u128::from(seed)),
             now,
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The workload manager on real sockets.
 #![forbid(unsafe_code)]
 
+use sanddyke::admin::{self, Admin};
 use sanddyke::back::{Backs, Limits, Wire};
 use sanddyke::clock::{Clock, Micros};
 use sanddyke::config::Config;
@@ -8,8 +9,12 @@
 use sanddyke::discovery;
 use sanddyke::front::Door;
 use sanddyke::front::http::{self, Http};
+use sanddyke::front::tds::{self, Tds};
 use sanddyke::service::{self, Handle};
+use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -25,6 +30,8 @@
 const RESERVED: usize = 160;
 /// Connections to one engine.
 const MOST_CONNECTIONS: usize = 8;
+/// Connections to one engine where each carries one request.
+const MOST_TDS_CONNECTIONS: usize = 64;
 
 /// Why the program can't go on.
 #[derive(Debug, Error)]
@@ -32,7 +39,7 @@
     #[error("{0}")]
     Config(#[from] sanddyke::config::ConfigError),
     #[error("listen: can't listen on {0}: {1}")]
-    Listen(std::net::SocketAddr, std::io::Error),
+    Listen(SocketAddr, std::io::Error),
     #[error("{0}")]
     System(#[from] std::io::Error),
     #[error("{0}")]
@@ -52,6 +59,10 @@
     }
 }
 
+async fn bind(address: SocketAddr) -> Result<TcpListener, Fatal> {
+    TcpListener::bind(address).await.map_err(|error| Fatal::Listen(address, error))
+}
+
 async fn run() -> Result<(), Fatal> {
     let clock = Clock::start();
     let config = Config::from_env(&clock)?;
@@ -64,9 +75,15 @@
         // A little before the engine does, so that no request crosses its close.
         idle_after: Micros::from_ms(config.keepalive_ms * 0.8),
         streams: config.streams,
-        connections: MOST_CONNECTIONS,
+        connections: match config.wire {
+            Wire::Lines => MOST_CONNECTIONS,
+            Wire::Tds(_) => MOST_TDS_CONNECTIONS,
+        },
     };
-    let backs = Backs::new(Wire::Lines, handle.clone(), clock, limits);
+    let backs = Backs::new(config.wire, handle.clone(), clock, limits);
+    let names = config.front.tenants.iter().cloned();
+    let shares = config.front.settings.tenants.iter().map(|tenant| tenant.share);
+    let tenants = names.zip(shares).collect();
     let core = Core::new(config.front, config.max_open, config.seed, clock.now());
     tokio::spawn(service::run(core, clock, queue, backs));
     handle.tell(Input::Engines(EngineNews::Start(config.listed.engines()))).await?;
@@ -76,14 +93,29 @@
     }
     let door = Door::default();
     let mut fronts = Vec::new();
+    let places = config.sockets - config.sockets.min(RESERVED) / 2;
     if let Some(address) = config.listen {
-        let listener = TcpListener::bind(address).await.map_err(|error| Fatal::Listen(address, error))?;
+        let listener = bind(address).await?;
         let front = Http::new(handle.clone(), door.clone(), config.page_bytes);
-        fronts.push(tokio::spawn(http::serve(
-            listener,
-            front,
-            config.sockets - config.sockets.min(RESERVED) / 2,
-        )));
+        fronts.push(tokio::spawn(http::serve(listener, front, places)));
+    }
+    if let Some(told) = config.tds {
+        let listener = bind(told.listen).await?;
+        let front = Tds {
+            handle: handle.clone(),
+            door: door.clone(),
+            directory: told.directory,
+            class: told.class,
+            budget: told.budget,
+            seed: config.seed,
+            named: AtomicU64::new(1),
+        };
+        fronts.push(tokio::spawn(tds::serve(listener, Arc::new(front), places / 2)));
+    }
+    if let Some(told) = config.admin {
+        let listener = bind(told.listen).await?;
+        let api = Admin { handle: handle.clone(), door: door.clone(), token: told.token, tenants };
+        fronts.push(tokio::spawn(admin::serve(listener, Arc::new(api))));
     }
     door.open();
     log::info!("{} is ready", config.name);
--- /dev/null
+++ b/tests/common/engines.rs
@@ -0,0 +1,201 @@
+//! Stand-in engines on lines and on TDS. What a statement holds decides what they do with it: `ok`, `big`,
+//! `fail`, `full`, `die`, `garble`, and `slow`, which runs until it is stopped.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+
+/// What an engine was sent, in order: the words of its lines, or the statements and attentions of TDS.
+pub type Seen = Arc<Mutex<Vec<String>>>;
+
+pub struct Engine {
+    pub address: SocketAddr,
+    pub seen: Seen,
+}
+
+impl Engine {
+    pub fn count(&self, what: &str) -> usize {
+        self.seen.lock().unwrap().iter().filter(|line| line.contains(what)).count()
+    }
+}
+
+fn serve(each: fn(TcpStream, Seen)) -> Engine {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let engine = Engine { address: listener.local_addr().unwrap(), seen: Seen::default() };
+    let seen = engine.seen.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let seen = seen.clone();
+            std::thread::spawn(move || each(stream, seen));
+        }
+    });
+    engine
+}
+
+pub fn lines() -> Engine {
+    serve(|stream, seen| drop(speak_lines(stream, &seen)))
+}
+
+fn speak_lines(stream: TcpStream, seen: &Seen) -> std::io::Result<()> {
+    let mut out = stream.try_clone()?;
+    let mut input = BufReader::new(stream);
+    let mut big: HashMap<String, bool> = HashMap::new();
+    loop {
+        let mut line = String::new();
+        if input.read_line(&mut line)? == 0 {
+            return Ok(());
+        }
+        let words: Vec<&str> = line.trim_end().split(' ').collect();
+        let id = words[1];
+        if words[0] == "STAT" {
+            write!(out, "{id} alive l=util:0.1;queue:0;x0:0.1;x1:0.1\r\n")?;
+            continue;
+        }
+        if words[0] == "FETCH" {
+            seen.lock().unwrap().push(line.trim_end().to_owned());
+            if big[id] {
+                return Ok(()); // dies between pages
+            }
+            write!(out, "{id} chunk sheet={} 4\r\ne\tf\n\r\n", words[2])?;
+            continue;
+        }
+        let mut statement = String::new();
+        if words[0] == "REQ" {
+            let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
+            input.read_exact(&mut body)?;
+            statement = String::from_utf8(body).unwrap().trim_end().to_owned();
+        }
+        seen.lock().unwrap().push(format!("{} {statement}", line.trim_end()));
+        let has = |word: &str| statement.contains(word);
+        if has("slow") {
+            write!(out, "{id} status n=share,val=0.1 0\r\n\r\n")?;
+        } else if has("fail") {
+            write!(out, "{id} 500 - 0\r\n\r\n")?;
+        } else if has("full") {
+            write!(out, "{id} 503 - 0\r\n\r\n")?;
+        } else if has("die") {
+            return Ok(());
+        } else if has("garble") {
+            write!(out, "what is this\r\n")?;
+        } else if has("big") {
+            // The first try of a `big once` ends between its pages.
+            let again = seen.lock().unwrap().iter().filter(|line| line.contains("big once")).count() > 1;
+            big.insert(id.to_owned(), has("once") && !again);
+            write!(out, "{id} 200 sheets=3,toil=100,room=8 8\r\na\tb\nc\td\n\r\n")?;
+        } else if words[0] == "REQ" {
+            write!(out, "{id} 200 sheets=1,toil=100,room=8 8\r\na\tb\nc\td\n\r\n")?;
+        }
+    }
+}
+
+pub fn tds() -> Engine {
+    serve(|stream, seen| drop(speak_tds(stream, &seen)))
+}
+
+fn utf16(text: &str) -> Vec<u8> {
+    text.encode_utf16().flat_map(u16::to_le_bytes).collect()
+}
+
+fn token(kind: u8, data: &[u8]) -> Vec<u8> {
+    [&[kind][..], &(data.len() as u16).to_le_bytes(), data].concat()
+}
+
+/// An ERROR or INFO token, as MS-TDS 2.2.7.10 has it.
+fn message(kind: u8, number: u32, text: &str) -> Vec<u8> {
+    let count = (text.len() as u16).to_le_bytes();
+    token(kind, &[&number.to_le_bytes()[..], &[1, 16], &count, &utf16(text), &[0, 0], &[0; 4]].concat())
+}
+
+fn done(status: u16) -> Vec<u8> {
+    [&[0xfd][..], &status.to_le_bytes(), &[0xc1, 0], &[0; 8]].concat()
+}
+
+fn columns(names: &[&str]) -> Vec<u8> {
+    let mut out = [&[0x81][..], &(names.len() as u16).to_le_bytes()].concat();
+    for name in names {
+        out.extend([0, 0, 0, 0, 9, 0, 0xe7, 0x40, 0x1f, 9, 4, 0xd0, 0, 0x34, name.len() as u8]);
+        out.extend(utf16(name));
+    }
+    out
+}
+
+fn row(cells: &[&str]) -> Vec<u8> {
+    let mut out = vec![0xd1];
+    for cell in cells {
+        out.extend((cell.len() as u16 * 2).to_le_bytes());
+        out.extend(utf16(cell));
+    }
+    out
+}
+
+/// Writes an answer in packets of odd sizes, so that tokens are cut anywhere.
+fn answer(out: &mut TcpStream, data: &[u8], whole: bool) -> std::io::Result<()> {
+    let parts: Vec<&[u8]> = data.chunks(37).collect();
+    for (at, part) in parts.iter().enumerate() {
+        let last = u8::from(whole && at + 1 == parts.len());
+        let length = (part.len() as u16 + 8).to_be_bytes();
+        out.write_all(&[&[4, last, length[0], length[1], 0, 0, 1, 0][..], part].concat())?;
+    }
+    Ok(())
+}
+
+fn speak_tds(mut stream: TcpStream, seen: &Seen) -> std::io::Result<()> {
+    loop {
+        let (mut data, mut kind) = (Vec::new(), 0);
+        loop {
+            let mut head = [0; 8];
+            stream.read_exact(&mut head)?;
+            let mut part = vec![0; usize::from(u16::from_be_bytes([head[2], head[3]])) - 8];
+            stream.read_exact(&mut part)?;
+            data.extend(part);
+            kind = head[0].max(kind);
+            if head[1] & 1 == 1 {
+                break;
+            }
+        }
+        match kind {
+            0x12 => answer(&mut stream, &[1, 0, 6, 0, 1, 0xff, 2], true)?,
+            0x10 => {
+                let ack = token(0xad, &[1, 0x74, 0, 0, 4, 0, 16, 0, 0, 0]);
+                answer(&mut stream, &[ack, done(0)].concat(), true)?;
+            }
+            0x06 => {
+                seen.lock().unwrap().push("ATTENTION".to_owned());
+                answer(&mut stream, &done(0x20), true)?;
+            }
+            _ => {
+                let units: Vec<u16> =
+                    data[22..].chunks(2).map(|pair| u16::from_le_bytes([pair[0], pair[1]])).collect();
+                let statement = String::from_utf16(&units).unwrap();
+                let has = |word: &str| statement.contains(word);
+                if has("dm_engine_load") {
+                    let load = [
+                        columns(&["util", "queue", "x0", "x1"]),
+                        row(&["0.1", "0", "0.1", "0.1"]),
+                        done(0x10),
+                    ];
+                    answer(&mut stream, &load.concat(), true)?;
+                    continue;
+                }
+                seen.lock().unwrap().push(statement.clone());
+                let failed = |number| [message(0xaa, number, "no"), done(2)].concat();
+                if has("slow") {
+                    answer(&mut stream, &message(0xab, 50100, "share=0.1"), false)?;
+                } else if has("fail") {
+                    answer(&mut stream, &failed(547), true)?;
+                } else if has("full") {
+                    answer(&mut stream, &failed(10928), true)?;
+                } else if has("die") {
+                    return Ok(());
+                } else if has("garble") {
+                    stream.write_all(b"what is this, no packet at all")?;
+                } else {
+                    let told = message(0xab, 50100, "toil=100 room=8");
+                    let rows = [columns(&["x", "y"]), row(&["a", "b"]), row(&["c", "d"]), told, done(0x10)];
+                    answer(&mut stream, &rows.concat(), true)?;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,189 @@
+//! The program as a process, and stand-ins for its clients and engines.
+#![allow(dead_code)]
+
+pub mod engines;
+pub mod ldap;
+
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+static STARTED: AtomicU8 = AtomicU8::new(1);
+
+/// A loopback address that no other test has, in this process or another: no two ever race for a port.
+fn own_address() -> IpAddr {
+    let [a, b] = (std::process::id() as u16).to_le_bytes();
+    IpAddr::from([127, a, b, STARTED.fetch_add(1, Ordering::Relaxed)])
+}
+
+/// Waits until something holds, far longer than it takes on any machine that is not stuck.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < Duration::from_secs(30), "never came: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+pub fn settings() -> Value {
+    let class = |name: &str, deadline: f64, effect: &str| {
+        json!({"name": name, "targetMs": 1000, "deadlineMs": deadline, "idempotency": effect,
+               "dedupScope": "all", "windowMs": 15000, "worth": 1})
+    };
+    json!({
+        "allowed": {"attemptsCap": 3, "cancel": true, "probes": true, "maxRetryAfterMs": 2000},
+        "classes": [class("lookup", 5e3, "repeatable"), class("report", 20e3, "repeatable"),
+                    class("load", 25e3, "by_key"), class("post", 5e3, "once")],
+        "customers": [{"name": "acme", "portion": 1.0, "quotaRps": 1000}],
+        "discovery": "pushed", "models": ["std"], "replicasOfMe": 1, "stepMs": 5,
+        "familyInfo": {"dop": [1, 2, 2, 1], "kindCores": [8], "ranksHeeded": true, "loads": [false, false, true, false]},
+        "report": {"columns": ["util", "queue", "x0", "x1"]},
+        "safety": {"coldFrom": 0.3, "overloadFactor": 2, "tipAfterMs": 1500, "warmUpMs": 9000},
+    })
+}
+
+pub fn endpoint(name: &str, address: SocketAddr) -> Value {
+    json!({"name": name, "address": address.to_string(), "zone": "a", "type": "std", "group": 0,
+           "status": "ready", "weight": 1.0, "since_ms": 0})
+}
+
+pub struct Program {
+    child: Child,
+    pub http: SocketAddr,
+    pub tds: SocketAddr,
+    pub admin: SocketAddr,
+    _files: tempdir::Dir,
+}
+
+/// A folder of this test's own that goes with it.
+mod tempdir {
+    pub struct Dir(pub std::path::PathBuf);
+    impl Drop for Dir {
+        fn drop(&mut self) {
+            let _gone = std::fs::remove_dir_all(&self.0);
+        }
+    }
+}
+
+pub const TOKEN: &str = "0123456789abcdef-token";
+
+/// Starts the program on the engines, with more keys for its configuration.
+pub fn start(engines: &[SocketAddr], more: Value) -> Program {
+    let own = own_address();
+    let (http, tds, admin) =
+        (SocketAddr::new(own, 8080), SocketAddr::new(own, 1433), SocketAddr::new(own, 8081));
+    let folder = std::env::temp_dir().join(format!("sanddyke-{}-{}", std::process::id(), own));
+    std::fs::create_dir_all(&folder).unwrap();
+    std::fs::write(folder.join("token"), TOKEN).unwrap();
+    let endpoints: Vec<Value> =
+        engines.iter().enumerate().map(|(at, address)| endpoint(&format!("e{at}"), *address)).collect();
+    let mut config = json!({
+        "listen": http.to_string(), "settings": settings(),
+        "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"snapshot": true, "endpoints": endpoints}}]},
+        "tds": {"listen": tds.to_string()},
+        "admin": {"listen": admin.to_string(), "token_file": folder.join("token")},
+    });
+    config.as_object_mut().unwrap().extend(more.as_object().unwrap().clone());
+    std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_sanddyke"))
+        .env("LB_CONFIG", folder.join("config.json"))
+        .stderr(Stdio::inherit())
+        .spawn()
+        .unwrap();
+    let program = Program { child, http, tds, admin, _files: tempdir::Dir(folder) };
+    until("the program is ready", || {
+        TcpStream::connect(http).is_ok() && program.call("GET", "/check", &[], "").status == 200
+    });
+    program
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _gone = self.child.kill();
+        let _reaped = self.child.wait();
+    }
+}
+
+#[derive(Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl Reply {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap()
+    }
+
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+    }
+}
+
+/// Reads one answer; `None` where the connection ended first.
+pub fn read_reply(stream: &mut TcpStream) -> Option<Reply> {
+    let mut bytes = Vec::new();
+    let mut byte = [0];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        bytes.push(byte[0]);
+    }
+    let mut reply = Reply { status: 0, head: String::from_utf8(bytes).unwrap(), body: String::new() };
+    reply.status = reply.head[9..12].parse().unwrap();
+    let mut body = vec![0; reply.field("Content-Length").unwrap().parse().unwrap()];
+    stream.read_exact(&mut body).ok()?;
+    reply.body = String::from_utf8(body).unwrap();
+    Some(reply)
+}
+
+pub fn request(method: &str, target: &str, fields: &[(&str, &str)], body: &str) -> String {
+    let fields: String = fields.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
+    format!(
+        "{method} {target} HTTP/1.1\r\nHost: app.svc\r\n{fields}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+impl Program {
+    pub fn call(&self, method: &str, target: &str, fields: &[(&str, &str)], body: &str) -> Reply {
+        let mut stream = TcpStream::connect(self.http).unwrap();
+        stream.write_all(request(method, target, fields, body).as_bytes()).unwrap();
+        read_reply(&mut stream).expect("an answer")
+    }
+
+    /// A client's request over HTTP, sent and not yet answered.
+    pub fn send(&self, name: &str, class: &str, ttl: u64, key: Option<&str>, statement: &str) -> TcpStream {
+        let (txn, ttl) = (format!("{:0>16}", hex(name)), ttl.to_string());
+        let mut fields = vec![("X-Txn", txn.as_str()), ("X-Ttl-Ms", &ttl), ("X-Merchant", "acme")];
+        fields.extend(key.map(|key| ("X-Txn-Key", key)));
+        let mut stream = TcpStream::connect(self.http).unwrap();
+        stream.write_all(request("POST", &format!("/do/{class}"), &fields, statement).as_bytes()).unwrap();
+        stream
+    }
+
+    pub fn admin(&self, method: &str, target: &str, token: &str) -> Reply {
+        let mut stream = TcpStream::connect(self.admin).unwrap();
+        let field = format!("Bearer {token}");
+        stream.write_all(request(method, target, &[("Authorization", &field)], "").as_bytes()).unwrap();
+        read_reply(&mut stream).expect("an answer")
+    }
+
+    pub fn terminate(&mut self) {
+        let kill = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+        assert!(kill.success());
+    }
+
+    pub fn wait(&mut self) -> std::process::ExitStatus {
+        self.child.wait().unwrap()
+    }
+}
+
+pub fn hex(name: &str) -> String {
+    name.bytes().map(|byte| format!("{byte:02x}")).collect()
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -281,3 +281,14 @@
     let refused = out.iter().filter(|action| matches!(action, Action::Refuse { .. })).count();
     assert!((10..19).contains(&refused), "{refused}: {out:?}");
 }
+
+/// Guards against a fresh start that takes its first requests as beyond their tenant's share.
+#[test]
+fn the_first_requests_after_a_start_are_within_their_share() {
+    let mut settings = settings(ClassSettings { target_ms: 2000.0, ..ClassSettings::default() });
+    settings.tenants = vec![TenantSettings { share: 1.0, quota_per_s: 10.0 }];
+    settings.engines.priorities = true;
+    let mut gateway = gateway(settings, &[engine(1)]);
+    let out = take(&mut gateway, 1.0, Request { tenant: Some(TenantId(0)), ..request(1) });
+    assert!(out.iter().any(|action| matches!(action, Action::SetTerms { priority: 1, .. })), "{out:?}");
+}
--- /dev/null
+++ b/tests/service.rs
@@ -0,0 +1,348 @@
+//! The program as a process, with stand-in clients and engines: the same service over HTTP and over TDS,
+//! on engines that speak lines or TDS.
+
+mod common;
+
+use common::engines::{self, Engine};
+use common::{Program, TOKEN, ldap, read_reply, request, start, until};
+use rstest::rstest;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+use tiberius::{AuthMethod, Client, Config, EncryptionLevel};
+use tokio_util::compat::{Compat, TokioAsyncWriteCompatExt};
+
+#[derive(Clone, Copy, PartialEq)]
+enum Wire {
+    Lines,
+    Tds,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Front {
+    Http,
+    Tds,
+}
+
+fn service(wire: Wire) -> (Program, Engine) {
+    match wire {
+        Wire::Lines => {
+            let engine = engines::lines();
+            (start(&[engine.address], json!({})), engine)
+        }
+        Wire::Tds => {
+            let engine = engines::tds();
+            (start(&[engine.address], json!({"engines": {"wire": "tds", "user": "u"}})), engine)
+        }
+    }
+}
+
+type Tds = Client<Compat<tokio::net::TcpStream>>;
+
+async fn login(
+    program: &Program,
+    user: &str,
+    password: &str,
+    database: &str,
+) -> Result<Tds, tiberius::error::Error> {
+    let mut config = Config::new();
+    config.authentication(AuthMethod::sql_server(user, password));
+    config.database(database);
+    config.encryption(EncryptionLevel::NotSupported);
+    let stream = tokio::net::TcpStream::connect(program.tds).await.unwrap();
+    Client::connect(config, stream.compat_write()).await
+}
+
+/// How a request ended, in the words of neither wire.
+#[derive(Debug, PartialEq)]
+enum End {
+    Served(Vec<Vec<String>>),
+    Refused { retry_after_ms: u64 },
+    Failed,
+    Unusable,
+}
+
+async fn ask(
+    program: &Program,
+    front: Front,
+    class: &str,
+    ttl: u64,
+    key: Option<&str>,
+    statement: &str,
+) -> End {
+    match front {
+        Front::Http => {
+            let reply = read_reply(&mut program.send(class, class, ttl, key, statement)).unwrap();
+            match reply.status {
+                200 => End::Served(serde_json::from_value(reply.json()["result"].clone()).unwrap()),
+                503 => {
+                    assert_eq!(reply.json()["fault"], "Rejected");
+                    let ms: u64 = reply.field("X-Throttle-Ms").unwrap().parse().unwrap();
+                    let seconds: u64 = reply.field("Retry-After").unwrap().parse().unwrap();
+                    assert_eq!(seconds, ms.div_ceil(1000));
+                    End::Refused { retry_after_ms: ms }
+                }
+                500 => End::Failed,
+                _ => End::Unusable,
+            }
+        }
+        Front::Tds => {
+            let key = key.map(|key| format!(",key='{key}'")).unwrap_or_default();
+            let text = format!("/*class='{class}',ttl_ms='{ttl}'{key}*/ {statement}");
+            let mut client = login(program, "ann", "any", "acme").await.unwrap();
+            let found = match client.simple_query(text).await {
+                Ok(stream) => stream.into_first_result().await,
+                Err(error) => Err(error),
+            };
+            match found {
+                Ok(rows) => {
+                    let cell = |row: &tiberius::Row, at| row.get::<&str, _>(at).unwrap().to_owned();
+                    End::Served(rows.iter().map(|row| vec![cell(row, 0), cell(row, 1)]).collect())
+                }
+                Err(tiberius::error::Error::Server(told)) => match told.code() {
+                    40501 => {
+                        let ms = told.message().rsplit('=').next().unwrap().parse().unwrap();
+                        End::Refused { retry_after_ms: ms }
+                    }
+                    50010 => End::Failed,
+                    50011 => End::Unusable,
+                    other => panic!("error {other}"),
+                },
+                Err(other) => panic!("{other}"),
+            }
+        }
+    }
+}
+
+fn rows() -> End {
+    let row = |a: &str, b: &str| vec![a.to_owned(), b.to_owned()];
+    End::Served(vec![row("a", "b"), row("c", "d")])
+}
+
+/// The same mix of classes has the same ends on every pair of wires.
+#[rstest]
+#[tokio::test]
+async fn the_same_mix_has_the_same_ends(
+    #[values(Front::Http, Front::Tds)] front: Front,
+    #[values(Wire::Lines, Wire::Tds)] wire: Wire,
+) {
+    let (program, engine) = service(wire);
+    let refused = End::Refused { retry_after_ms: 2000 };
+    for class in ["lookup", "report", "post"] {
+        assert_eq!(
+            ask(&program, front, class, 4000, None, "SELECT 'ok' FROM s_1.t").await,
+            rows(),
+            "{class}"
+        );
+    }
+    assert_eq!(ask(&program, front, "load", 4000, Some("k1"), "LOAD ok").await, rows());
+    assert!(engine.count("k1") == 1, "the key reaches the engine once");
+    // A load that may have run goes out again under its key, as often as attempts allow, and is then refused.
+    assert_eq!(ask(&program, front, "load", 4000, Some("k2"), "LOAD fail").await, refused);
+    assert_eq!(engine.count("k2"), 3);
+    // What must never run twice is sent once, and failed.
+    assert_eq!(ask(&program, front, "post", 4000, None, "POST fail").await, End::Failed);
+    assert_eq!(engine.count("POST fail"), 1);
+    assert_eq!(ask(&program, front, "post", 4000, None, "POST die").await, End::Failed);
+    assert_eq!(engine.count("POST die"), 1);
+    // A full engine ran nothing: refused, also what must never run twice.
+    assert_eq!(ask(&program, front, "post", 3000, None, "POST full").await, refused);
+    assert_eq!(ask(&program, front, "lookup", 4000, None, "SELECT garble").await, refused);
+    // A deadline ends what runs for too long: answered before it, and stopped on the engine.
+    let began = Instant::now();
+    assert_eq!(ask(&program, front, "report", 600, None, "SELECT slow").await, refused);
+    assert!(began.elapsed() >= Duration::from_millis(500));
+    let stop = if wire == Wire::Lines { "STOP" } else { "ATTENTION" };
+    until("the stop reaches the engine", || engine.count(stop) >= 1);
+    // What can't be used reaches no engine.
+    assert_eq!(ask(&program, front, "nothing", 4000, None, "SELECT unusable").await, End::Unusable);
+    assert_eq!(ask(&program, front, "load", 4000, None, "LOAD unusable").await, End::Unusable);
+    assert_eq!(ask(&program, front, "lookup", 0, None, "SELECT unusable").await, End::Unusable);
+    assert_eq!(engine.count("unusable"), 0);
+    assert_eq!(ask(&program, front, "lookup", 4000, None, "SELECT ok").await, rows());
+}
+
+/// Guards against an engine that dies between pages: no row has gone out, so the request runs again.
+#[test]
+fn a_result_in_pages_survives_an_engine_that_dies_between_them() {
+    let (program, engine) = service(Wire::Lines);
+    let reply = read_reply(&mut program.send("p", "report", 9000, None, "SELECT big once")).unwrap();
+    let whole = json!([["a", "b"], ["c", "d"], ["e", "f"], ["e", "f"]]);
+    assert_eq!((reply.status, &reply.json()["result"]), (200, &whole));
+    assert_eq!((engine.count("REQ"), engine.count("END")), (2, 1));
+}
+
+/// A result above the size of a page goes out in pages, each of which can be called again.
+#[test]
+fn pages_can_be_called_again_and_deleted() {
+    let engine = engines::lines();
+    let program = start(&[engine.address], json!({"page_bytes": 12}));
+    let mut reply = read_reply(&mut program.send("q", "lookup", 4000, None, "SELECT big")).unwrap();
+    let mut rows = Vec::new();
+    let mut last = String::new();
+    while let Some(path) = reply.json()["more"].as_str().map(str::to_owned) {
+        rows.extend(reply.json()["result"].as_array().unwrap().clone());
+        reply = program.call("GET", &path, &[], "");
+        assert_eq!(reply.body, program.call("GET", &path, &[], "").body);
+        last = path;
+    }
+    rows.extend(reply.json()["result"].as_array().unwrap().clone());
+    assert_eq!(json!(rows), json!([["a", "b"], ["c", "d"], ["e", "f"], ["e", "f"]]));
+    assert_eq!(program.call("DELETE", &last, &[], "").status, 200);
+    assert_eq!(program.call("GET", &last, &[], "").status, 404);
+}
+
+#[rstest]
+#[case("X-Txn", "xyz", 400)]
+#[case("X-Ttl-Ms", "soon", 400)]
+#[case("X-Merchant", "nobody", 400)]
+#[case("Content-Length", "7", 400)]
+fn a_malformed_request_is_answered_and_reaches_no_engine(
+    #[case] name: &str,
+    #[case] value: &str,
+    #[case] status: u16,
+) {
+    let (program, engine) = service(Wire::Lines);
+    let mut fields = vec![("X-Txn", "00000000000000aa"), ("X-Ttl-Ms", "900"), ("X-Merchant", "acme")];
+    fields.retain(|(known, _)| *known != name);
+    fields.push((name, value));
+    assert_eq!(program.call("POST", "/do/lookup", &fields, "SELECT 1").status, status);
+    assert_eq!(engine.count("REQ"), 0);
+}
+
+/// A client that closes its connection stops the work on the engine.
+#[test]
+fn a_client_that_leaves_stops_its_work() {
+    let (program, engine) = service(Wire::Lines);
+    let stream = program.send("r", "report", 9000, None, "SELECT slow");
+    until("it runs", || engine.count("REQ") == 1);
+    drop(stream);
+    until("it is stopped", || engine.count("STOP") == 1);
+}
+
+/// An attention in the midst of a report stops the work, and brings one DONE with DONE_ATTN and nothing else.
+#[rstest]
+fn an_attention_stops_a_report_and_brings_one_end(#[values(Wire::Lines, Wire::Tds)] wire: Wire) {
+    use sanddyke::tds::{login, packet, token};
+    let (program, engine) = service(wire);
+    let mut stream = TcpStream::connect(program.tds).unwrap();
+    let mut say = |kind: u8, data: &[u8]| {
+        // Bytes come one by one: packets are cut anywhere.
+        for byte in packet::message(kind, data) {
+            stream.write_all(&[byte]).unwrap();
+        }
+        stream.try_clone().unwrap()
+    };
+    let read = |stream: &mut TcpStream| {
+        let mut head = [0; 8];
+        stream.read_exact(&mut head).unwrap();
+        let mut data = vec![0; usize::from(u16::from_be_bytes([head[2], head[3]])) - 8];
+        stream.read_exact(&mut data).unwrap();
+        data
+    };
+    let mut answers = say(packet::PRELOGIN, &login::prelogin());
+    read(&mut answers);
+    let told = login::Login { user: "ann".into(), database: "acme".into(), ..Default::default() };
+    say(packet::LOGIN7, &login::login(&told));
+    read(&mut answers);
+    say(packet::SQL_BATCH, &token::batch("/*class='report'*/ SELECT slow"));
+    until("it runs", || engine.count("slow") == 1);
+    say(packet::ATTENTION, &[]);
+    let end = read(&mut answers);
+    assert_eq!((end.len(), &end[..3]), (13, &[0xfd, 0x20, 0x00][..]), "{end:?}");
+    let stop = if wire == Wire::Lines { "STOP" } else { "ATTENTION" };
+    until("it is stopped", || engine.count(stop) == 1);
+    // The next answer on the connection is the next request's, whole.
+    say(packet::SQL_BATCH, &token::batch("SELECT ok"));
+    assert_eq!(read(&mut answers)[0], 0x81);
+}
+
+/// A call with parameters reaches the engine with their values in place, and strings are left alone.
+#[tokio::test]
+async fn parameters_of_a_call_travel_in_the_statement() {
+    let (program, engine) = service(Wire::Lines);
+    let mut client = login(&program, "ann", "any", "acme").await.unwrap();
+    let found = client.query("SELECT @P1, '@P1', @P2 -- ok", &[&"it's", &7i32]).await.unwrap();
+    assert_eq!(found.into_first_result().await.unwrap().len(), 2);
+    assert_eq!(engine.count("SELECT N'it''s', '@P1', 7 -- ok"), 1);
+}
+
+#[tokio::test]
+async fn a_login_names_a_tenant_by_its_directory() {
+    let engine = engines::lines();
+    let url = format!("ldap://{}", ldap::directory());
+    let told = json!({"url": url, "bind_dn": "uid={user},dc=x", "base": "dc=x"});
+    let program = start(&[engine.address], json!({ "ldap": told }));
+    let denied = |result: Result<Tds, tiberius::error::Error>| match result {
+        Err(tiberius::error::Error::Server(told)) => told.code(),
+        other => panic!("{:?}", other.map(|_| ())),
+    };
+    assert_eq!(denied(login(&program, "ann", "wrong", "").await), 18456);
+    assert_eq!(denied(login(&program, "ann", "", "").await), 18456);
+    assert_eq!(denied(login(&program, "ann", "right", "other").await), 18456);
+    let mut client = login(&program, "ann", "right", "acme").await.unwrap();
+    let found = client.simple_query("SELECT ok").await.unwrap();
+    assert_eq!(found.into_first_result().await.unwrap().len(), 2);
+    let tenants = program.admin("GET", "/tenants", TOKEN).json();
+    assert_eq!(tenants["tenants"][0]["classes"][0]["served"], 1);
+}
+
+#[test]
+fn an_operator_sees_the_state_and_cancels() {
+    let (program, engine) = service(Wire::Lines);
+    for (target, token) in [("/requests", "wrong"), ("/metrics", "")] {
+        assert_eq!(program.admin("GET", target, token).status, 401);
+    }
+    let mut stream = program.send("s", "report", 9000, None, "SELECT slow");
+    until("it runs", || engine.count("REQ") == 1);
+    let open = program.admin("GET", "/requests", TOKEN).json();
+    let name = open["requests"][0]["name"].as_str().unwrap().to_owned();
+    assert_eq!(open["requests"][0]["state"], "on e0");
+    assert_eq!(program.admin("GET", "/engines", TOKEN).json()["engines"][0]["attempts_out"], 1);
+    assert_eq!(program.admin("DELETE", "/requests/none", TOKEN).status, 404);
+    assert_eq!(program.admin("DELETE", &format!("/requests/{name}"), TOKEN).status, 200);
+    assert_eq!(read_reply(&mut stream).unwrap().json()["fault"], "Cancelled");
+    until("it is stopped", || engine.count("STOP") == 1);
+    let metrics = program.admin("GET", "/metrics", TOKEN).body;
+    assert!(metrics.contains(r#"class="report",tenant="acme",end="cancelled"} 1"#), "{metrics}");
+    assert_eq!(program.admin("GET", "/health", "").status, 200);
+}
+
+/// After SIGTERM what is open and what still comes is answered, and the program ends well.
+#[test]
+fn sigterm_answers_what_is_open_and_ends() {
+    let (mut program, engine) = service(Wire::Lines);
+    let mut open = program.send("t", "report", 2000, None, "SELECT slow");
+    until("it runs", || engine.count("REQ") == 1);
+    program.terminate();
+    until("the health check says so", || program.call("GET", "/check", &[], "").status == 503);
+    assert_eq!(read_reply(&mut program.send("u", "lookup", 900, None, "SELECT ok")).unwrap().status, 200);
+    assert_eq!(read_reply(&mut open).unwrap().status, 503);
+    assert!(program.wait().success());
+}
+
+#[test]
+fn a_key_that_cannot_be_used_is_named_and_ends_the_program() {
+    let file = std::env::temp_dir().join(format!("sanddyke-bad-{}", std::process::id()));
+    let text = include_str!("../deploy/operator.toml").replace("wire = \"tds\"", "wire = \"post\"");
+    std::fs::write(&file, text).unwrap();
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_sanddyke"));
+    let output = command.env("SANDDYKE_CONFIG", &file).env_remove("LB_CONFIG").output().unwrap();
+    std::fs::remove_file(&file).unwrap();
+    assert!(!output.status.success());
+    assert!(String::from_utf8_lossy(&output.stderr).contains("engines.wire"), "{output:?}");
+}
+
+/// An answer that came too late for a client that waits on one connection never mixes with the next.
+#[test]
+fn one_connection_carries_one_call_after_another() {
+    let (program, _engine) = service(Wire::Lines);
+    let mut stream = TcpStream::connect(program.http).unwrap();
+    for number in 0..20 {
+        let name = format!("{number:016x}");
+        let fields = [("X-Txn", name.as_str()), ("X-Ttl-Ms", "4000"), ("X-Merchant", "acme")];
+        stream.write_all(request("POST", "/do/lookup", &fields, "SELECT ok").as_bytes()).unwrap();
+        assert_eq!(read_reply(&mut stream).unwrap().status, 200);
+    }
+}
