--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -171,6 +171,10 @@
         "# TYPE sanddyke_requests_open gauge\nsanddyke_requests_open {}",
         report.requests.len()
     );
+    let _ = writeln!(text, "# TYPE sanddyke_attempts_total counter");
+    for (end, count) in &report.books.attempts {
+        let _ = writeln!(text, "sanddyke_attempts_total{{outcome=\"{end}\"}} {count}");
+    }
     let _ = writeln!(text, "# TYPE sanddyke_attempts_out gauge");
     for engine in &report.engines {
         let labels = format!("engine=\"{}\",state=\"{}\"", label(&engine.name), engine.state);
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -2,8 +2,10 @@
 
 use super::{Answer, Command, Core, Open};
 use crate::clock::Micros;
+use crate::interface::Outcome;
 use crate::settings::Front;
 use serde::Serialize;
+use std::collections::BTreeMap;
 
 /// Ends of one class and tenant.
 #[derive(Debug, Clone, Default, Serialize)]
@@ -31,6 +33,8 @@
 pub struct Books {
     /// One tally for each class and tenant.
     pub tallies: Vec<Tally>,
+    /// Ends of attempts, by outcome.
+    pub attempts: BTreeMap<String, u64>,
 }
 
 impl Books {
@@ -43,7 +47,13 @@
             ..Tally::default()
         };
         let pairs = front.classes.iter().flat_map(|class| tenants.iter().map(move |tenant| (class, tenant)));
-        Books { tallies: pairs.map(|(class, tenant)| tally(class, tenant)).collect() }
+        let tallies = pairs.map(|(class, tenant)| tally(class, tenant)).collect();
+        Books { tallies, attempts: BTreeMap::new() }
+    }
+
+    /// Counts the end of an attempt.
+    pub(super) fn count_attempt(&mut self, outcome: Outcome) {
+        *self.attempts.entry(format!("{outcome:?}")).or_default() += 1;
     }
 
     fn tally(&mut self, front: &Front, open: &Open) -> Option<&mut Tally> {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -221,7 +221,9 @@
         }
         let parts = self.front.classes.iter().zip(counts);
         let parts: Vec<String> = parts.map(|(name, (held, out))| format!("{name} {held}+{out}")).collect();
-        format!("open (held+out): {}", parts.join(", "))
+        let ends: Vec<String> =
+            self.books.attempts.iter().map(|(end, count)| format!("{end} {count}")).collect();
+        format!("open (held+out): {}; attempts ended: {}", parts.join(", "), ends.join(", "))
     }
 
     /// What the administration API shows.
--- a/src/core/send.rs
+++ b/src/core/send.rs
@@ -96,6 +96,7 @@
         {
             open.standing = Standing::Held;
         }
+        self.books.count_attempt(outcome);
         let settled = !self.requests.contains_key(&request);
         if settled && !self.attempts.keys().any(|(other, _)| *other == request) {
             self.sent.remove(&request);
