--- a/src/interface.rs
+++ b/src/interface.rs
@@ -142,6 +142,8 @@
 pub struct Limits {
     /// Most attempts for one request.
     pub max_attempts: u32,
+    /// Requests that clients can have open here at once, where that is bounded.
+    pub max_open: Option<usize>,
     /// Whether an attempt may be cancelled.
     pub cancel: bool,
     /// Whether engines may be probed.
@@ -454,6 +456,7 @@
             kinds: Vec::new(),
             limits: Limits {
                 max_attempts: 3,
+                max_open: None,
                 cancel: true,
                 probes: true,
                 second_copies: false,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,6 +49,7 @@
 const SURE_RATE: f64 = 0.7; // work per core and ms that this gateway surely gets of its part of the fleet
 const SHARE_SLACK: f64 = 1.15; // traffic above a tenant's share by this factor counts as beyond it
 const SHARE_BURST_MS: f64 = 2000.0; // a tenant may send so much of its share at once (ms)
+const CROWDED: f64 = 0.85; // part of the requests that clients can have open from which none may stand still
 const SCAN: usize = 8; // how many waiting requests of one queue are looked at for one free slot
 
 // --- Health ---
@@ -566,10 +567,7 @@
         turns.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         for (_, turn, index) in turns {
             // Loads whose data set is held on every engine do not count: they would block all behind them.
-            let stands = |set: u64| {
-                let mut ready = self.engines.values().filter(|to| to.entry.state == EngineState::Ready);
-                ready.all(|to| to.loading.contains(&set))
-            };
+            let stands = |set: u64| self.is_held(set);
             let heads = self.tenants[index].waiting.iter().map(|(_, id)| *id);
             let heads = heads.filter(|id| !self.jobs[id].data_set.is_some_and(stands)).take(SCAN);
             let heads: Vec<_> = heads.collect();
@@ -646,6 +644,12 @@
         !pressed || (fits && !self.pace.tiny)
     }
 
+    /// Whether own loads hold a data set on every engine: another load on it has to wait.
+    fn is_held(&self, set: u64) -> bool {
+        let mut ready = self.engines.values().filter(|to| to.entry.state == EngineState::Ready);
+        ready.all(|to| to.loading.contains(&set))
+    }
+
     /// The mean query of this gateway now in flight: by it other gateways' load is judged.
     fn mix(&self) -> Load {
         let mut sum = Load { queries: 1.0, threads: 1.0, ..Load::default() };
@@ -816,6 +820,8 @@
         // Loads on one data set run one after another on each engine: those past their aim only hold places.
         let slots = self.engines.values().filter(up).count().max(1) as f64;
         let mut queues: BTreeMap<u64, f64> = BTreeMap::new();
+        let most = self.settings.limits.max_open.map_or(f64::INFINITY, |most| most as f64);
+        let crowded = self.jobs.len() as f64 > CROWDED * most;
         let (mut ahead, mut late) = (0.0, Vec::new());
         for (_, id) in waiting {
             let job = &self.jobs[id];
@@ -825,7 +831,8 @@
                 std::mem::replace(queue, *queue + 1.0)
             });
             let turn = self.classes[job.class].elapsed.max(alone(job)) * (1.0 + queue / slots);
-            let stands = queue > 0.0 && self.now + turn > job.aim_at;
+            let blocked = crowded && job.data_set.is_some_and(|set| self.is_held(set));
+            let stands = blocked || (queue > 0.0 && self.now + turn > job.aim_at);
             if stands || end > job.deadline || (end > job.aim_at && job.beyond_share) {
                 over.push(*id);
             } else if end > job.aim_at && !job.late {
--- a/src/main.rs
+++ b/src/main.rs
@@ -28,6 +28,8 @@
 const SILENT_AFTER: Micros = Micros(3_000_000);
 /// Descriptors that are not for clients: engines, the name service, files.
 const RESERVED: usize = 160;
+/// Clients hold at most this part of the descriptors, each for one open request.
+const CLIENTS_PART: usize = 3;
 /// Connections to one engine.
 const MOST_CONNECTIONS: usize = 8;
 /// Connections to one engine where each carries one request.
@@ -84,7 +86,9 @@
     let names = config.front.tenants.iter().cloned();
     let shares = config.front.settings.tenants.iter().map(|tenant| tenant.share);
     let tenants = names.zip(shares).collect();
-    let core = Core::new(config.front, config.max_open, config.seed, clock.now());
+    let mut told = config.front;
+    told.settings.limits.max_open = Some(config.sockets / CLIENTS_PART);
+    let core = Core::new(told, config.max_open, config.seed, clock.now());
     tokio::spawn(service::run(core, clock, queue, backs));
     handle.tell(Input::Engines(EngineNews::Start(config.listed.engines()))).await?;
     if let Some(resolver) = config.resolver {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -212,6 +212,7 @@
         kinds: kind_settings.collect(),
         limits: Limits {
             max_attempts: env.allowed.attempts_cap,
+            max_open: None,
             cancel: env.allowed.cancel,
             probes: env.allowed.probes,
             second_copies: env.allowed.second_copies,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -292,3 +292,19 @@
     let out = take(&mut gateway, 1.0, Request { tenant: Some(TenantId(0)), ..request(1) });
     assert!(out.iter().any(|action| matches!(action, Action::SetTerms { priority: 1, .. })), "{out:?}");
 }
+
+/// Guards against loads that only wait for their data set while clients have no connection left for others.
+#[test]
+fn a_load_that_stands_still_is_refused_when_clients_can_open_few_more() {
+    let class = ClassSettings { is_load: true, ..ClassSettings::default() };
+    let refused = |max_open| {
+        let mut settings = settings(class.clone());
+        settings.limits.max_open = max_open;
+        let mut gateway = gateway(settings, &[engine(1)]);
+        (1..=2).for_each(|id| drop(take(&mut gateway, 1.0, Request { data_set: 7, ..request(id) })));
+        let mut out = Vec::new();
+        gateway.handle(25.0, Event::Timer(0), &mut out);
+        out.iter().any(|action| matches!(action, Action::Refuse { request: RequestId(2), .. }))
+    };
+    assert!(refused(Some(2)) && !refused(Some(100)) && !refused(None));
+}
