Encrypt TDS clients with TLS 1.2 where the operator sets a certificate

The handshake travels in PRELOGIN packets and what follows on the bare stream; a tiberius client is served over it in a test, and one without encryption is let go.

--- a/src/back/tds/connection.rs
+++ b/src/back/tds/connection.rs
@@ -127,7 +127,7 @@
     };
     // Nothing ran before the login: whatever ends it, the request was never sent.
     let unsent = |_| ConnectionEnd::NotUp;
-    link.say(packet::PRELOGIN, &login::prelogin()).await.map_err(unsent)?;
+    link.say(packet::PRELOGIN, &login::prelogin(login::ENCRYPT_NOT_SUPPORTED)).await.map_err(unsent)?;
     while !link.whole {
         link.read().await.map_err(unsent)?;
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -15,7 +15,11 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use thiserror::Error;
+use tokio_rustls::rustls::pki_types::pem::PemObject;
+use tokio_rustls::rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use tokio_rustls::rustls::{ServerConfig, version};
 
 const DEFAULT_SOCKETS: usize = 1024;
 const DEFAULT_MAX_OPEN: usize = 20_000;
@@ -101,6 +105,8 @@
     pub budget: Micros,
     /// Who belongs to which tenant.
     pub directory: Directory,
+    /// What encrypts the wire, where it is encrypted.
+    pub tls: Option<Arc<ServerConfig>>,
 }
 
 /// The administration API.
@@ -199,6 +205,26 @@
     listen: SocketAddr,
     default_class: Option<String>,
     default_ttl_ms: Option<f64>,
+    certificate: Option<PathBuf>,
+    private_key: Option<PathBuf>,
+}
+
+/// TLS 1.2, as TDS 7 has it: its handshake ends with the server, and so is told from what follows.
+fn tls(keys: &TdsKeys) -> Result<Option<Arc<ServerConfig>>, ConfigError> {
+    let (certificate, key) = match (&keys.certificate, &keys.private_key) {
+        (None, None) => return Ok(None),
+        (Some(certificate), Some(key)) => (certificate, key),
+        (None, Some(_)) => return Err(bad("tds.certificate", "missing, with a private key")),
+        (Some(_), None) => return Err(bad("tds.private_key", "missing, with a certificate")),
+    };
+    let chain = CertificateDer::pem_file_iter(certificate).and_then(Iterator::collect::<Result<Vec<_>, _>>);
+    let chain = chain.map_err(|error| bad("tds.certificate", error))?;
+    let key = PrivateKeyDer::from_pem_file(key).map_err(|error| bad("tds.private_key", error))?;
+    let provider = Arc::new(tokio_rustls::rustls::crypto::ring::default_provider());
+    let server = ServerConfig::builder_with_provider(provider).with_protocol_versions(&[&version::TLS12]);
+    let server = server.map_err(|error| bad("tds.certificate", error))?.with_no_client_auth();
+    let server = server.with_single_cert(chain, key).map_err(|error| bad("tds.certificate", error))?;
+    Ok(Some(Arc::new(server)))
 }
 
 /// Wires without encryption carry passwords: they stay on the machine.
@@ -212,6 +238,7 @@
 fn tds_front(value: &Value, front: &Front) -> Result<Option<TdsFront>, ConfigError> {
     let ldap = want::<Ldap>(value, "ldap")?;
     let Some(keys) = want::<TdsKeys>(value, "tds")? else { return Ok(None) };
+    let tls = tls(&keys)?;
     let class = keys.default_class.or(front.classes.first().cloned());
     let class = class.ok_or_else(|| bad("settings.classes", "empty"))?;
     let known = front.classes.iter().position(|name| *name == class);
@@ -231,8 +258,8 @@
         }
         None => Directory::Database(tenants),
     };
-    let listen = loopback("tds.listen", keys.listen)?;
-    Ok(Some(TdsFront { listen, class, budget: Micros::from_ms(budget), directory }))
+    let listen = if tls.is_some() { keys.listen } else { loopback("tds.listen", keys.listen)? };
+    Ok(Some(TdsFront { listen, class, budget: Micros::from_ms(budget), directory, tls }))
 }
 
 #[derive(Deserialize)]
--- a/src/front/tds/mod.rs
+++ b/src/front/tds/mod.rs
@@ -1,22 +1,27 @@
 //! The TDS front: logins, batches and calls of `sp_executesql` on the same core as HTTP. What travels how,
 //! and the numbers of the errors, stands in `docs/tds.md`.
 
+mod tls;
+
+use self::tls::Stream;
 use super::Door;
 use crate::clock::Micros;
 use crate::core::{Answer, Arrival, Input};
 use crate::directory::Directory;
 use crate::service::Handle;
 use crate::statement;
-use crate::tds::login;
+use crate::tds::login::{self, ENCRYPT_NOT_SUPPORTED, ENCRYPT_ON, ENCRYPT_REQUIRED};
 use crate::tds::packet::{self, Message, Messages};
 use crate::tds::token::{self, To};
 use bytes::BytesMut;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio_rustls::TlsAcceptor;
+use tokio_rustls::rustls::ServerConfig;
 
 /// Refused: the number that clients know as "busy, retry later".
 pub const REFUSED: u32 = 40501;
@@ -39,6 +44,8 @@
     pub handle: Handle,
     /// What the fronts share.
     pub door: Door,
+    /// What encrypts the wire, where it is encrypted.
+    pub tls: Option<Arc<ServerConfig>>,
     /// Who belongs to which tenant.
     pub directory: Directory,
     /// The class of a request that names none.
@@ -60,7 +67,7 @@
             Ok((stream, _)) => {
                 let front = front.clone();
                 tokio::spawn(async move {
-                    if let Err(error) = Connection::new(stream, &front).run().await {
+                    if let Err(error) = serve_one(stream, &front).await {
                         log::debug!("TDS connection: {error}");
                     }
                     drop(place);
@@ -75,7 +82,7 @@
 }
 
 struct Connection<'a> {
-    stream: TcpStream,
+    stream: Box<dyn Stream>,
     received: BytesMut,
     messages: Messages,
     front: &'a Tds,
@@ -94,15 +101,65 @@
     std::io::Error::new(std::io::ErrorKind::InvalidData, error)
 }
 
-impl<'a> Connection<'a> {
-    fn new(stream: TcpStream, front: &'a Tds) -> Connection<'a> {
-        Connection { stream, received: BytesMut::with_capacity(8192), messages: Messages::default(), front }
+/// The next message; `None` where the client closed.
+async fn next<S>(stream: &mut S, messages: &mut Messages, received: &mut BytesMut) -> Io<Option<Message>>
+where
+    S: AsyncRead + Unpin + ?Sized,
+{
+    loop {
+        if let Some(message) = messages.next(received).map_err(malformed)? {
+            return Ok(Some(message));
+        }
+        if stream.read_buf(received).await? == 0 {
+            return Ok(None);
+        }
     }
+}
 
-    async fn run(mut self) -> Io<()> {
-        self.stream.set_nodelay(true)?;
-        let login = tokio::time::timeout(LOGIN_TIME, self.login());
-        let Some(tenant) = login.await.map_err(|_| std::io::ErrorKind::TimedOut)?? else { return Ok(()) };
+async fn serve_one(stream: TcpStream, front: &Tds) -> Io<()> {
+    stream.set_nodelay(true)?;
+    let login = tokio::time::timeout(LOGIN_TIME, async {
+        let Some(mut connection) = prelogin(stream, front).await? else { return Ok(None) };
+        Ok::<_, std::io::Error>(connection.login().await?.map(|tenant| (connection, tenant)))
+    });
+    match login.await.map_err(|_| std::io::ErrorKind::TimedOut)?? {
+        Some((connection, tenant)) => connection.run(tenant).await,
+        None => Ok(()),
+    }
+}
+
+/// PRELOGIN: whether the wire is encrypted, and the handshake where it is. Where there is a certificate all
+/// of a connection is encrypted, or there is none.
+async fn prelogin(mut stream: TcpStream, front: &Tds) -> Io<Option<Connection<'_>>> {
+    let (mut received, mut messages) = (BytesMut::with_capacity(8192), Messages::default());
+    let Some(first) = next(&mut stream, &mut messages, &mut received).await? else { return Ok(None) };
+    if first.kind != packet::PRELOGIN {
+        return Ok(None);
+    }
+    let asked = login::read_prelogin(&first.data).map_err(malformed)?.unwrap_or(ENCRYPT_NOT_SUPPORTED);
+    let ours = match (&front.tls, asked) {
+        (None, _) => ENCRYPT_NOT_SUPPORTED,
+        (Some(_), ENCRYPT_ON | ENCRYPT_REQUIRED) => ENCRYPT_ON,
+        (Some(_), _) => ENCRYPT_REQUIRED,
+    };
+    stream.write_all(&packet::message(packet::RESULT, &login::prelogin(ours))).await?;
+    let stream: Box<dyn Stream> = match &front.tls {
+        Some(_) if asked == ENCRYPT_NOT_SUPPORTED => {
+            log::info!("TDS: a client without encryption, which this listener requires");
+            return Ok(None);
+        }
+        Some(config) => tls::accept(&TlsAcceptor::from(config.clone()), stream, received.split()).await?,
+        None if asked == ENCRYPT_ON || asked == ENCRYPT_REQUIRED => {
+            log::info!("TDS: a client wants encryption, which this listener does not have");
+            return Ok(None);
+        }
+        None => Box::new(stream),
+    };
+    Ok(Some(Connection { stream, received, messages, front }))
+}
+
+impl Connection<'_> {
+    async fn run(mut self, tenant: String) -> Io<()> {
         loop {
             let next = tokio::time::timeout(IDLE_TIME, self.next()).await;
             let Some(message) = next.map_err(|_| std::io::ErrorKind::TimedOut)?? else { return Ok(()) };
@@ -112,35 +169,16 @@
         }
     }
 
-    /// The next message; `None` where the client closed.
     async fn next(&mut self) -> Io<Option<Message>> {
-        loop {
-            if let Some(message) = self.messages.next(&mut self.received).map_err(malformed)? {
-                return Ok(Some(message));
-            }
-            if self.stream.read_buf(&mut self.received).await? == 0 {
-                return Ok(None);
-            }
-        }
+        next(&mut self.stream, &mut self.messages, &mut self.received).await
     }
 
     async fn say(&mut self, data: &[u8]) -> Io<()> {
         self.stream.write_all(&packet::message(packet::RESULT, data)).await
     }
 
-    /// PRELOGIN and LOGIN7: the tenant, or `None` where the login is not granted.
+    /// LOGIN7: the tenant, or `None` where the login is not granted.
     async fn login(&mut self) -> Io<Option<String>> {
-        let Some(first) = self.next().await? else { return Ok(None) };
-        let asked = match first.kind {
-            packet::PRELOGIN => login::read_prelogin(&first.data).map_err(malformed)?,
-            _ => return Ok(None),
-        };
-        self.say(&login::prelogin()).await?;
-        // A client that insists on encryption ends here: this wire has none.
-        if asked.is_some_and(|asked| asked == 1 || asked == 3) {
-            log::info!("TDS: a client wants encryption, which this listener does not have");
-            return Ok(None);
-        }
         let Some(second) = self.next().await? else { return Ok(None) };
         if second.kind != packet::LOGIN7 {
             return Ok(None);
--- a/src/main.rs
+++ b/src/main.rs
@@ -109,6 +109,7 @@
             handle: handle.clone(),
             door: door.clone(),
             directory: told.directory,
+            tls: told.tls,
             class: told.class,
             budget: told.budget,
             seed: config.seed,
--- a/src/tds/login.rs
+++ b/src/tds/login.rs
@@ -13,16 +13,20 @@
 const TERMINATOR: u8 = 0xff;
 /// The wire is not encrypted.
 pub const ENCRYPT_NOT_SUPPORTED: u8 = 0x02;
+/// The wire is encrypted.
+pub const ENCRYPT_ON: u8 = 0x01;
+/// The wire must be encrypted.
+pub const ENCRYPT_REQUIRED: u8 = 0x03;
 /// TDS 7.4, as LOGIN7 has it.
 const TDS_74: u32 = 0x7400_0004;
 /// The fixed part of LOGIN7.
 const FIXED: usize = 94;
 const LONGEST_FIELD: usize = 512;
 
-/// A PRELOGIN message without encryption; the same from either side.
-pub fn prelogin() -> Vec<u8> {
+/// A PRELOGIN message that says so much of encryption; the same from either side.
+pub fn prelogin(encryption: u8) -> Vec<u8> {
     let options: [(u8, &[u8]); 3] =
-        [(VERSION, &[16, 0, 0, 0, 0, 0]), (ENCRYPTION, &[ENCRYPT_NOT_SUPPORTED]), (MARS, &[0])];
+        [(VERSION, &[16, 0, 0, 0, 0, 0]), (ENCRYPTION, &[encryption]), (MARS, &[0])];
     let mut offset = options.len() * 5 + 1;
     let (mut out, mut data) = (Vec::new(), Vec::new());
     for (token, bytes) in options {
@@ -159,6 +163,6 @@
         for cut in 0..data.len() {
             assert!(read_login(&data[..cut]).is_err(), "cut at {cut}");
         }
-        assert_eq!(read_prelogin(&prelogin()), Ok(Some(ENCRYPT_NOT_SUPPORTED)));
+        assert_eq!(read_prelogin(&prelogin(ENCRYPT_NOT_SUPPORTED)), Ok(Some(ENCRYPT_NOT_SUPPORTED)));
     }
 }
--- a/src/tds/mod.rs
+++ b/src/tds/mod.rs
@@ -33,7 +33,7 @@
 
 /// Text from UTF-16; `None` where it is none.
 pub fn from_utf16(bytes: &[u8]) -> Option<String> {
-    if bytes.len() % 2 != 0 {
+    if !bytes.len().is_multiple_of(2) {
         return None;
     }
     let units: Vec<u16> = bytes.chunks_exact(2).map(|pair| u16::from_le_bytes([pair[0], pair[1]])).collect();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -86,7 +86,12 @@
         "tds": {"listen": tds.to_string()},
         "admin": {"listen": admin.to_string(), "token_file": folder.join("token")},
     });
-    config.as_object_mut().unwrap().extend(more.as_object().unwrap().clone());
+    for (key, value) in more.as_object().unwrap() {
+        match (config.get_mut(key).and_then(Value::as_object_mut), value.as_object()) {
+            (Some(known), Some(more)) => known.extend(more.clone()),
+            _ => config[key.as_str()] = value.clone(),
+        }
+    }
     std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
     let child = Command::new(env!("CARGO_BIN_EXE_sanddyke"))
         .env("LB_CONFIG", folder.join("config.json"))
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -241,7 +241,7 @@
         stream.read_exact(&mut data).unwrap();
         data
     };
-    let mut answers = say(packet::PRELOGIN, &login::prelogin());
+    let mut answers = say(packet::PRELOGIN, &login::prelogin(login::ENCRYPT_NOT_SUPPORTED));
     read(&mut answers);
     let told = login::Login { user: "ann".into(), database: "acme".into(), ..Default::default() };
     say(packet::LOGIN7, &login::login(&told));
@@ -258,6 +258,33 @@
     assert_eq!(read(&mut answers)[0], 0x81);
 }
 
+/// With a certificate the whole wire is encrypted, and a client without encryption is let go.
+#[tokio::test]
+async fn an_encrypted_client_is_served_and_a_plain_one_is_not() {
+    let engine = engines::lines();
+    let made = rcgen::generate_simple_self_signed(vec!["localhost".to_owned()]).unwrap();
+    let folder = std::env::temp_dir().join(format!("sanddyke-tls-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let (certificate, key) = (folder.join("certificate.pem"), folder.join("key.pem"));
+    std::fs::write(&certificate, made.cert.pem()).unwrap();
+    std::fs::write(&key, made.signing_key.serialize_pem()).unwrap();
+    let program = start(&[engine.address], json!({"tds": {"certificate": certificate, "private_key": key}}));
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert!(login(&program, "ann", "any", "acme").await.is_err());
+    let mut config = Config::new();
+    config.host("localhost");
+    config.authentication(AuthMethod::sql_server("ann", "any"));
+    config.database("acme");
+    config.encryption(EncryptionLevel::Required);
+    config.trust_cert();
+    let stream = tokio::net::TcpStream::connect(program.tds).await.unwrap();
+    let mut client = Client::connect(config, stream.compat_write()).await.unwrap();
+    for _ in 0..3 {
+        let found = client.simple_query("SELECT ok FROM s_1.t").await.unwrap();
+        assert_eq!(found.into_first_result().await.unwrap().len(), 2);
+    }
+}
+
 /// A call with parameters reaches the engine with their values in place, and strings are left alone.
 #[tokio::test]
 async fn parameters_of_a_call_travel_in_the_statement() {
