Share out the places for loads on a data set once a node is crowded

At fault: has_room() in logic.rs. Engines get the same number at every node for that (a hash of the name; was the order of hearing). Ruled out: CPU (0.25 s a second).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -69,6 +69,9 @@
     state: EngineState,
 }
 
+/// Start and factor of the FNV-1a hash.
+const FNV: (u64, u64) = (0xcbf2_9ce4_8422_2325, 0x100_0000_01b3);
+
 /// The state of one workload manager.
 #[derive(Debug)]
 pub struct Core {
@@ -80,7 +83,6 @@
     attempts: HashMap<(u64, u32), Attempt>,
     sent: HashMap<u64, u32>,
     engines: HashMap<u64, KnownEngine>,
-    engine_ids: HashMap<String, u64>,
     timers: BinaryHeap<Reverse<(Micros, u64, Timer)>>,
     timer_count: u64,
     actions: Vec<Action>,
@@ -101,7 +103,6 @@
             attempts: HashMap::new(),
             sent: HashMap::new(),
             engines: HashMap::new(),
-            engine_ids: HashMap::new(),
             timers: BinaryHeap::new(),
             timer_count: 0,
             actions: Vec::new(),
@@ -182,8 +183,9 @@
         };
         let mut entries = Vec::with_capacity(told.len());
         for engine in told {
-            let next = self.engine_ids.len() as u64;
-            let id = *self.engine_ids.entry(engine.name.clone()).or_insert(next);
+            // All workload managers give an engine the same number, in whatever order they hear of it.
+            let id =
+                engine.name.bytes().fold(FNV.0, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(FNV.1));
             entries.push(EngineEntry {
                 id: crate::interface::EngineId(id),
                 started_at: engine.started.map(Micros::as_ms),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -37,6 +37,8 @@
 pub struct Settings {
     /// Gateways that share the engines, this one among them.
     pub gateways: usize,
+    /// Which of them this one is, from 0.
+    pub me: usize,
     /// Where this gateway stands.
     pub zone: ZoneId,
     /// Time between two rounds of event handling.
@@ -448,6 +450,7 @@
     fn default() -> Self {
         Settings {
             gateways: 1,
+            me: 0,
             zone: ZoneId(0),
             step_ms: 5.0,
             classes: Vec::new(),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -630,7 +630,7 @@
         let held = engine.own.memory + engine.others * mix.memory;
         let empty = engine.own.queries + engine.others < 1.0;
         let crammed = !empty && held + job.memory > MEMORY_FULL * engine.memory_mb;
-        let standing = job.data_set.is_some_and(|set| engine.loading.contains(&set));
+        let standing = job.data_set.is_some_and(|set| self.stands_on(engine, set));
         if unproven || crammed || standing || self.now < engine.rest_until {
             return false;
         }
@@ -644,10 +644,23 @@
         !pressed || (fits && !self.pace.tiny)
     }
 
+    fn is_crowded(&self) -> bool {
+        let most = self.settings.limits.max_open.map_or(f64::INFINITY, |most| most as f64);
+        self.jobs.len() as f64 > CROWDED * most
+    }
+
+    /// Whether a load on a data set would stand still on an engine. Once crowded, each engine's place for a
+    /// data set is one gateway's: the same place for all would have most of their loads stand still there.
+    fn stands_on(&self, engine: &Engine, set: u64) -> bool {
+        let turn = |at: usize| (at + set as usize) % self.settings.gateways.max(1) != self.settings.me;
+        let theirs = || self.engines.keys().position(|id| *id == engine.entry.id).is_some_and(turn);
+        engine.loading.contains(&set) || (self.is_crowded() && theirs())
+    }
+
     /// Whether own loads hold a data set on every engine: another load on it has to wait.
     fn is_held(&self, set: u64) -> bool {
         let mut ready = self.engines.values().filter(|to| to.entry.state == EngineState::Ready);
-        ready.all(|to| to.loading.contains(&set))
+        ready.all(|to| self.stands_on(to, set))
     }
 
     /// The mean query of this gateway now in flight: by it other gateways' load is judged.
@@ -820,8 +833,7 @@
         // Loads on one data set run one after another on each engine: those past their aim only hold places.
         let slots = self.engines.values().filter(up).count().max(1) as f64;
         let mut queues: BTreeMap<u64, f64> = BTreeMap::new();
-        let most = self.settings.limits.max_open.map_or(f64::INFINITY, |most| most as f64);
-        let crowded = self.jobs.len() as f64 > CROWDED * most;
+        let crowded = self.is_crowded();
         let (mut ahead, mut late) = (0.0, Vec::new());
         for (_, id) in waiting {
             let job = &self.jobs[id];
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -18,6 +18,8 @@
     family_info: FamilyInfo,
     #[serde(default)]
     models: Vec<String>,
+    #[serde(default)]
+    me: usize,
     over_share_worth: Option<f64>,
     #[serde(default)]
     prices: Prices,
@@ -200,6 +202,7 @@
     });
     let settings = Settings {
         gateways: env.replicas_of_me,
+        me: env.me,
         zone: ZoneId(number(&mut zones, &env.zone)),
         step_ms: env.step_ms,
         classes,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -308,3 +308,20 @@
     };
     assert!(refused(Some(2)) && !refused(Some(100)) && !refused(None));
 }
+
+/// Guards against loads of all gateways that stand still behind each other on the same places.
+#[test]
+fn once_crowded_the_places_for_a_data_set_are_shared_out() {
+    let class = ClassSettings { is_load: true, ..ClassSettings::default() };
+    let places = |me, max_open| {
+        let mut settings = settings(class.clone());
+        (settings.gateways, settings.me, settings.limits.max_open) = (2, me, max_open);
+        let mut gateway = gateway(settings, &[engine(1), engine(2)]);
+        let load = |id| Request { data_set: 7, ..request(id) };
+        let taken = (1..=2).flat_map(|id| sends(&take(&mut gateway, 1.0, load(id))));
+        taken.map(|(_, engine)| engine).collect::<Vec<_>>()
+    };
+    let (first, second) = (places(0, Some(1)), places(1, Some(1)));
+    assert!(first.len() == 1 && second.len() == 1 && first != second, "{first:?} {second:?}");
+    assert_eq!(places(0, None).len(), 2);
+}
