--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod engines;
 pub mod ldap;
+pub mod names;
 
 use serde_json::{Value, json};
 use std::io::{Read, Write};
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::engines::{self, Engine};
-use common::{Program, TOKEN, ldap, read_reply, request, start, until};
+use common::{Program, TOKEN, ldap, names, read_reply, request, start, until};
 use rstest::rstest;
 use serde_json::json;
 use std::io::{Read, Write};
@@ -336,6 +336,24 @@
     assert_eq!(program.admin("GET", "/health", "").status, 200);
 }
 
+/// A lost answer and one that is cut short change nothing; the next is heeded, and nothing new goes to an
+/// engine that drains.
+#[test]
+fn nothing_new_goes_to_an_engine_that_the_name_service_drains() {
+    let (old, new) = (engines::lines(), engines::lines());
+    let both = [old.address, new.address];
+    let program = start(&both, json!({"resolver": names::service(both.to_vec()).to_string()}));
+    let state = || program.admin("GET", "/engines", TOKEN).json()["engines"][0]["state"].clone();
+    until("the first engine drains", || state() == "draining");
+    let before = old.count("REQ");
+    for number in 0..20 {
+        let name = number.to_string();
+        let reply = read_reply(&mut program.send(&name, "lookup", 4000, None, "SELECT ok")).unwrap();
+        assert_eq!(reply.status, 200);
+    }
+    assert_eq!((old.count("REQ") - before, new.count("REQ")), (0, 20));
+}
+
 /// After SIGTERM what is open and what still comes is answered, and the program ends well.
 #[test]
 fn sigterm_answers_what_is_open_and_ends() {
