--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,9 +1,9 @@
 //! The administration API: JSON over HTTP on its own listener, with a bearer token. `docs/admin.md` lists it.
 
 use crate::core::{Input, Report, Tally};
-use crate::front::Door;
 use crate::front::http::message::{Request, Response};
 use crate::front::http::read_request;
+use crate::front::{self, Door};
 use crate::service::{Ended, Handle};
 use bytes::BytesMut;
 use serde_json::json;
@@ -11,7 +11,6 @@
 use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 
 /// Connections at once.
 const MOST: usize = 16;
@@ -31,25 +30,11 @@
 
 /// Accepts connections until it is dropped.
 pub async fn serve(listener: TcpListener, admin: Arc<Admin>) {
-    let places = Arc::new(Semaphore::new(MOST));
-    loop {
-        let Ok(place) = places.clone().acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let admin = admin.clone();
-                tokio::spawn(async move {
-                    if let Err(error) = connection(stream, &admin).await {
-                        log::debug!("admin connection: {error}");
-                    }
-                    drop(place);
-                });
-            }
-            Err(error) => {
-                log::error!("an admin connection can't be accepted: {error}");
-                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
-            }
-        }
-    }
+    let each = |stream| {
+        let admin = admin.clone();
+        async move { connection(stream, &admin).await }
+    };
+    front::accept(listener, MOST, "admin", each).await;
 }
 
 async fn connection(mut stream: TcpStream, admin: &Admin) -> std::io::Result<()> {
--- a/src/front/http/mod.rs
+++ b/src/front/http/mod.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, oneshot};
+use tokio::sync::oneshot;
 
 /// A client that has begun a request must have sent all of it by then, and one without any is let go.
 const READ_TIME: Duration = Duration::from_secs(10);
@@ -40,26 +40,11 @@
 
 /// Accepts connections until it is dropped.
 pub async fn serve(listener: TcpListener, front: Arc<Http>, most: usize) {
-    let places = Arc::new(Semaphore::new(most));
-    loop {
-        let Ok(place) = places.clone().acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let front = front.clone();
-                tokio::spawn(async move {
-                    if let Err(error) = connection(stream, &front).await {
-                        log::debug!("client connection: {error}");
-                    }
-                    drop(place);
-                });
-            }
-            Err(error) => {
-                // No descriptor is left: those in use come back soon.
-                log::error!("a client's connection can't be accepted: {error}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        }
-    }
+    let each = |stream| {
+        let front = front.clone();
+        async move { connection(stream, &front).await }
+    };
+    super::accept(listener, most, "client", each).await;
 }
 
 /// Reads the next request; `None` where the client closed, or sent none for long.
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -3,8 +3,12 @@
 pub mod http;
 pub mod tds;
 
+use std::future::Future;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 
 /// What the fronts and the rest of the program know of each other.
 #[derive(Debug, Clone, Default)]
@@ -56,3 +60,31 @@
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+/// Accepts connections until it is dropped, at most so many at once, and gives each a task of its own.
+pub async fn accept<F, T>(listener: TcpListener, most: usize, who: &'static str, each: F)
+where
+    F: Fn(TcpStream) -> T,
+    T: Future<Output = std::io::Result<()>> + Send + 'static,
+{
+    let places = Arc::new(Semaphore::new(most));
+    loop {
+        let Ok(place) = places.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let served = each(stream);
+                tokio::spawn(async move {
+                    if let Err(error) = served.await {
+                        log::debug!("{who} connection: {error}");
+                    }
+                    drop(place);
+                });
+            }
+            Err(error) => {
+                // No descriptor is left: those in use come back soon.
+                log::error!("a {who} connection can't be accepted: {error}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
--- a/src/front/tds/mod.rs
+++ b/src/front/tds/mod.rs
@@ -19,7 +19,6 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio_rustls::TlsAcceptor;
 use tokio_rustls::rustls::ServerConfig;
 
@@ -60,25 +59,11 @@
 
 /// Accepts connections until it is dropped.
 pub async fn serve(listener: TcpListener, front: Arc<Tds>, most: usize) {
-    let places = Arc::new(Semaphore::new(most));
-    loop {
-        let Ok(place) = places.clone().acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let front = front.clone();
-                tokio::spawn(async move {
-                    if let Err(error) = serve_one(stream, &front).await {
-                        log::debug!("TDS connection: {error}");
-                    }
-                    drop(place);
-                });
-            }
-            Err(error) => {
-                log::error!("a TDS connection can't be accepted: {error}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        }
-    }
+    let each = |stream| {
+        let front = front.clone();
+        async move { serve_one(stream, &front).await }
+    };
+    super::accept(listener, most, "TDS", each).await;
 }
 
 struct Connection<'a> {
