Let spare connections give way to new ones, and read the configuration again on SIGHUP

SIGHUP had no handler in main.rs, and the runtime's default ends the process.

Now a connection has a seat that says what it does (ending, silent, idle, busy); where places run out the first of these gives way, never one that is owed an answer. A first request is due 2.5 s after the connection, an idle connection is let go after 5 s (clients do it after 4 s), and a refusal is followed by a short read so that unread input does not reset it away.

On SIGHUP the file is read again whole; one that can't be used is logged and changes nothing. The name service, its name and the list take effect at once, on the same numbers; the log names other keys as waiting for the next start. Questions share one socket, so a late answer is taken as well.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -3,7 +3,7 @@
 use crate::core::{Input, Report, Tally};
 use crate::front::http::message::{Request, Response};
 use crate::front::http::read_request;
-use crate::front::{self, Door};
+use crate::front::{self, Door, Seat};
 use crate::service::{Ended, Handle};
 use bytes::BytesMut;
 use serde_json::json;
@@ -30,24 +30,29 @@
 
 /// Accepts connections until it is dropped.
 pub async fn serve(listener: TcpListener, admin: Arc<Admin>) {
-    let each = |stream| {
+    let each = |stream, seat| {
         let admin = admin.clone();
-        async move { connection(stream, &admin).await }
+        async move { connection(stream, &seat, &admin).await }
     };
     front::accept(listener, MOST, "admin", each).await;
 }
 
-async fn connection(mut stream: TcpStream, admin: &Admin) -> std::io::Result<()> {
+async fn connection(mut stream: TcpStream, seat: &Seat, admin: &Admin) -> std::io::Result<()> {
     let mut buffer = BytesMut::with_capacity(4096);
-    while let Some(read) = read_request(&mut stream, &mut buffer).await? {
+    let mut first = true;
+    while let Some(read) = read_request(&mut stream, &mut buffer, first).await? {
+        first = false;
+        seat.busy();
         let (response, close) = match read {
             Ok(request) => (admin.call(&request).await, request.close),
             Err(error) => (problem(error.status(), &error.to_string()), true),
         };
         stream.write_all(&response.bytes(close)).await?;
         if close {
-            return stream.shutdown().await;
+            seat.ending();
+            return front::linger(&mut stream, &mut buffer).await;
         }
+        seat.idle();
     }
     Ok(())
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -57,9 +58,24 @@
     ConfigError::Key(key.into(), why.to_string())
 }
 
+/// The configuration as it was read, to tell what has changed since.
+#[derive(Debug, Clone)]
+pub struct Read(Value);
+
+impl Read {
+    /// The keys whose values are not what they were.
+    pub fn changed(&self, before: &Read) -> Vec<String> {
+        let keys = |read: &Read| read.0.as_object().into_iter().flat_map(|all| all.keys().cloned()).collect();
+        let all: BTreeSet<String> = [keys(self), keys(before)].into_iter().flat_map(Vec::into_iter).collect();
+        all.into_iter().filter(|key| self.0.get(key) != before.0.get(key)).collect()
+    }
+}
+
 /// All that the program is told.
 #[derive(Debug)]
 pub struct Config {
+    /// As it was read.
+    pub read: Read,
     /// The workload manager's name.
     pub name: String,
     /// Where HTTP clients connect, if they do.
@@ -179,6 +195,7 @@
         let admin = admin_api(value)?;
         let wire = wire(value)?;
         Ok(Config {
+            read: Read(value.clone()),
             name: want(value, "name")?.unwrap_or_else(|| "sanddyke".to_owned()),
             listen: want(value, "listen")?,
             seed,
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -6,17 +6,19 @@
 use crate::core::{Engine, EngineNews, Input};
 use crate::interface::EngineState;
 use crate::service::Handle;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Time between two questions. An event counts as told 1.5 s after it happened at the latest, and a drained
 /// engine may be sent work for 0.5 s more: even two lost answers must not take that long.
 const ASK_EVERY: Duration = Duration::from_millis(200);
-/// An answer that is not there by then is lost.
-const ANSWER_WITHIN: Duration = Duration::from_millis(180);
+/// So many of the last questions may still be answered.
+const MOST_QUESTIONS: usize = 8;
 /// The longest answer, with some to spare.
 const LONGEST_ANSWER: usize = 16 * 1024;
 /// Log again that the name service says nothing after so many lost answers.
@@ -40,7 +42,7 @@
 }
 
 /// The list as the name service last told it.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Listed {
     serial: u32,
     engines: BTreeMap<String, Engine>,
@@ -82,23 +84,106 @@
     }
 }
 
-/// Asks the name service until the service ends.
-pub async fn run(
-    resolver: SocketAddr,
-    service: String,
-    mut listed: Listed,
-    handle: Handle,
-    clock: Clock,
-    seed: u64,
-) {
+/// What the configuration tells of the name service and of the list.
+#[derive(Debug)]
+pub struct Told {
+    /// The name service.
+    pub resolver: Option<SocketAddr>,
+    /// The name that is asked for.
+    pub service: String,
+    /// The list, as far as the configuration knows it.
+    pub listed: Listed,
+}
+
+/// Questions whose answers are still taken: one that comes late is good as well.
+#[derive(Debug)]
+struct Questions {
+    socket: UdpSocket,
+    open: VecDeque<u16>,
+}
+
+impl Questions {
+    async fn new(resolver: SocketAddr) -> Result<Questions, Lost> {
+        let here = if resolver.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+        let socket = UdpSocket::bind(here).await?;
+        socket.connect(resolver).await?;
+        Ok(Questions { socket, open: VecDeque::new() })
+    }
+
+    async fn ask(&mut self, service: &str, id: u16) -> Result<(), Lost> {
+        self.open.push_back(id);
+        if self.open.len() > MOST_QUESTIONS {
+            self.open.pop_front();
+        }
+        self.socket.send(&dns::question(id, service)).await?;
+        Ok(())
+    }
+
+    /// The next answer to an open question, by a time. What answers none is passed over.
+    async fn answer(&mut self, buffer: &mut [u8], by: Instant) -> Result<dns::Answer, Lost> {
+        loop {
+            let received = tokio::time::timeout_at(by, self.socket.recv(buffer)).await;
+            let message = &buffer[..received.map_err(|_| Lost::Silent)??];
+            let asked = self.open.iter().position(|id| message.starts_with(&id.to_be_bytes()));
+            if let Some(at) = asked {
+                self.open.remove(at);
+                return Ok(dns::read(message)?);
+            }
+        }
+    }
+}
+
+/// Asks the name service until the service ends. A configuration that was read again counts at once; the list
+/// and its numbers go on.
+pub async fn run(mut told: watch::Receiver<Told>, handle: Handle, clock: Clock, seed: u64) {
+    let mut listed = told.borrow_and_update().listed.clone();
     let mut rng = oorandom::Rand32::new(seed);
+    loop {
+        let (resolver, service) = {
+            let told = told.borrow_and_update();
+            (told.resolver, told.service.clone())
+        };
+        let changed = tokio::select! {
+            changed = told.changed() => changed.is_ok(),
+            () = ask_on(resolver, &service, &mut listed, &handle, &clock, &mut rng) => false,
+        };
+        if !changed {
+            return;
+        }
+        let newer = told.borrow_and_update().listed.clone();
+        let news = listed.update(newer.serial, newer.engines());
+        if !news.is_empty() && handle.tell(Input::Engines(EngineNews::Changed(news))).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Asks one name service again and again; ends only with the service itself.
+async fn ask_on(
+    resolver: Option<SocketAddr>,
+    service: &str,
+    listed: &mut Listed,
+    handle: &Handle,
+    clock: &Clock,
+    rng: &mut oorandom::Rand32,
+) {
+    let Some(resolver) = resolver else { return std::future::pending().await };
+    let mut buffer = vec![0; LONGEST_ANSWER];
     let mut lost = 0u32;
+    let mut questions = None;
     loop {
-        let began = tokio::time::Instant::now();
-        let asked = ask(resolver, &service, (rng.rand_u32() & 0xffff) as u16).await;
-        let answer =
-            asked.and_then(|bytes| Ok(dns::read(&bytes)?)).and_then(|answer| engines(&answer, &clock));
-        match answer {
+        let by = Instant::now() + ASK_EVERY;
+        let id = (rng.rand_u32() & 0xffff) as u16;
+        let round = async {
+            if questions.is_none() {
+                questions = Some(Questions::new(resolver).await?);
+            }
+            let Some(questions) = &mut questions else { return Err(Lost::Silent) };
+            questions.ask(service, id).await?;
+            let answer = questions.answer(&mut buffer, by).await?;
+            engines(&answer, clock)
+        };
+        match round.await {
             Ok((serial, engines)) => {
                 if lost >= LOG_EVERY {
                     log::info!("name service: answers again");
@@ -119,7 +204,7 @@
                 }
             }
         }
-        tokio::time::sleep_until(began + ASK_EVERY).await;
+        tokio::time::sleep_until(by).await;
     }
 }
 
@@ -134,24 +219,6 @@
     Unusable(#[from] Unusable),
 }
 
-async fn ask(resolver: SocketAddr, service: &str, id: u16) -> Result<Vec<u8>, Lost> {
-    let here = if resolver.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
-    let socket = UdpSocket::bind(here).await?;
-    socket.connect(resolver).await?;
-    socket.send(&dns::question(id, service)).await?;
-    let mut buffer = vec![0; LONGEST_ANSWER];
-    let deadline = tokio::time::Instant::now() + ANSWER_WITHIN;
-    loop {
-        let received = tokio::time::timeout_at(deadline, socket.recv(&mut buffer)).await;
-        let length = received.map_err(|_| Lost::Silent)??;
-        // What does not answer this question is passed over.
-        if length >= 2 && buffer[..2] == id.to_be_bytes() {
-            buffer.truncate(length);
-            return Ok(buffer);
-        }
-    }
-}
-
 fn engines(answer: &dns::Answer, clock: &Clock) -> Result<(u32, Vec<Engine>), Lost> {
     let mut engines = Vec::with_capacity(answer.services.len());
     for service in &answer.services {
--- a/src/front/http/mod.rs
+++ b/src/front/http/mod.rs
@@ -5,7 +5,7 @@
 
 use self::message::{Request, Response, Unreadable};
 use self::pages::Pages;
-use super::Door;
+use super::{Door, Seat};
 use crate::clock::Micros;
 use crate::core::{Answer, Arrival, Input, Invalid, Row};
 use crate::service::Handle;
@@ -15,10 +15,14 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
-/// A client that has begun a request must have sent all of it by then, and one without any is let go.
-const READ_TIME: Duration = Duration::from_secs(10);
-const IDLE_TIME: Duration = Duration::from_secs(60);
+/// A client must have sent a whole request by then, counted from its connection or its first byte.
+const READ_TIME: Duration = Duration::from_millis(2500);
+/// Clients close what has been idle for 4 s; who does not holds the connection for nothing.
+const IDLE_TIME: Duration = Duration::from_secs(5);
+/// A client that reads none of its answer for so long has left.
+const WRITE_TIME: Duration = Duration::from_secs(10);
 /// What a client may send ahead while its answer is awaited.
 const MOST_AHEAD: usize = 64 * 1024;
 
@@ -40,19 +44,23 @@
 
 /// Accepts connections until it is dropped.
 pub async fn serve(listener: TcpListener, front: Arc<Http>, most: usize) {
-    let each = |stream| {
+    let each = |stream, seat| {
         let front = front.clone();
-        async move { connection(stream, &front).await }
+        async move { connection(stream, &seat, &front).await }
     };
     super::accept(listener, most, "client", each).await;
 }
 
-/// Reads the next request; `None` where the client closed, or sent none for long.
+/// Reads the next request; `None` where the client closed, or did not send one in time. The first is due by
+/// a time after the connection, those that follow by the same time after their first byte.
 pub async fn read_request(
     stream: &mut TcpStream,
     buffer: &mut BytesMut,
+    first: bool,
 ) -> std::io::Result<Option<Result<Request, Unreadable>>> {
     let mut told = false;
+    let mut begun = first || !buffer.is_empty();
+    let mut until = Instant::now() + if begun { READ_TIME } else { IDLE_TIME };
     loop {
         match message::read_head(buffer) {
             Err(error) => return Ok(Some(Err(error))),
@@ -69,19 +77,24 @@
             }
             Ok(None) => {}
         }
-        let wait = if buffer.is_empty() { IDLE_TIME } else { READ_TIME };
-        match tokio::time::timeout(wait, stream.read_buf(buffer)).await {
+        match tokio::time::timeout_at(until, stream.read_buf(buffer)).await {
             Ok(Ok(1..)) => {}
             Ok(Err(error)) => return Err(error),
             Ok(Ok(0)) | Err(_) => return Ok(None),
         }
+        if !begun {
+            (begun, until) = (true, Instant::now() + READ_TIME);
+        }
     }
 }
 
-async fn connection(mut stream: TcpStream, front: &Http) -> std::io::Result<()> {
+async fn connection(mut stream: TcpStream, seat: &Seat, front: &Http) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let mut buffer = BytesMut::with_capacity(4096);
-    while let Some(read) = read_request(&mut stream, &mut buffer).await? {
+    let mut first = true;
+    while let Some(read) = read_request(&mut stream, &mut buffer, first).await? {
+        first = false;
+        seat.busy();
         let counted = front.door.count();
         let (response, close) = match read {
             Ok(request) => match front.call(&mut stream, &mut buffer, &request).await {
@@ -90,11 +103,13 @@
             },
             Err(error) => (unusable(error.status(), &error.to_string()), true),
         };
-        stream.write_all(&response.bytes(close)).await?;
+        tokio::time::timeout(WRITE_TIME, stream.write_all(&response.bytes(close))).await??;
         drop(counted);
         if close {
-            return stream.shutdown().await;
+            seat.ending();
+            return super::linger(&mut stream, &mut buffer).await;
         }
+        seat.idle();
     }
     Ok(())
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -3,12 +3,19 @@
 pub mod http;
 pub mod tds;
 
+use bytes::BytesMut;
+use std::collections::HashMap;
 use std::future::Future;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::task::AbortHandle;
+
+/// How long, and for how many bytes, a client that was refused may go on sending.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 256 * 1024;
 
 /// What the fronts and the rest of the program know of each other.
 #[derive(Debug, Clone, Default)]
@@ -61,30 +68,154 @@
     }
 }
 
-/// Accepts connections until it is dropped, at most so many at once, and gives each a task of its own.
+/// What a connection is doing. The first in this order are the first to give way where places run out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    /// It has its last answer.
+    Ending,
+    /// It has not brought a whole request yet.
+    Silent,
+    /// Its last request is answered.
+    Idle,
+    /// It is owed an answer.
+    Busy,
+}
+
+#[derive(Debug)]
+struct Taken {
+    standing: Standing,
+    /// When it came to stand so, counted in changes: those of old give way first.
+    since: u64,
+    task: Option<AbortHandle>,
+}
+
+#[derive(Debug, Default)]
+struct Places {
+    changes: u64,
+    taken: HashMap<u64, Taken>,
+}
+
+/// A connection's place among those of its listener. It goes with the connection.
+#[derive(Debug)]
+pub struct Seat {
+    number: u64,
+    places: Arc<Mutex<Places>>,
+}
+
+fn locked(places: &Mutex<Places>) -> MutexGuard<'_, Places> {
+    places.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Places {
+    fn change(&mut self) -> u64 {
+        self.changes += 1;
+        self.changes
+    }
+
+    /// Ends the connection that can best be spared, of those that are owed nothing.
+    fn make_room(&mut self) -> bool {
+        let spare = self.taken.iter().filter(|(_, one)| one.standing != Standing::Busy);
+        let Some(number) = spare.min_by_key(|(_, one)| (one.standing, one.since)).map(|(number, _)| *number)
+        else {
+            return false;
+        };
+        let task = self.taken.remove(&number).and_then(|one| one.task);
+        task.inspect(AbortHandle::abort).is_some()
+    }
+}
+
+impl Seat {
+    fn take(places: &Arc<Mutex<Places>>) -> Seat {
+        let mut all = locked(places);
+        let number = all.change();
+        all.taken.insert(number, Taken { standing: Standing::Silent, since: number, task: None });
+        Seat { number, places: places.clone() }
+    }
+
+    fn stands(&self, standing: Standing) {
+        let mut all = locked(&self.places);
+        let since = all.change();
+        if let Some(taken) = all.taken.get_mut(&self.number) {
+            (taken.standing, taken.since) = (standing, since);
+        }
+    }
+
+    /// A whole request has come: the connection stays until it is answered.
+    pub fn busy(&self) {
+        self.stands(Standing::Busy);
+    }
+
+    /// Its request is answered, and another may come.
+    pub fn idle(&self) {
+        self.stands(Standing::Idle);
+    }
+
+    /// It has its last answer.
+    pub fn ending(&self) {
+        self.stands(Standing::Ending);
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        locked(&self.places).taken.remove(&self.number);
+    }
+}
+
+/// Accepts connections until it is dropped, and gives each a task of its own. There are so many places: where
+/// they run out the connection that can best be spared gives way to a new one, so that clients that say
+/// nothing, or hold their connections for good, keep nobody out.
 pub async fn accept<F, T>(listener: TcpListener, most: usize, who: &'static str, each: F)
 where
-    F: Fn(TcpStream) -> T,
+    F: Fn(TcpStream, Seat) -> T,
     T: Future<Output = std::io::Result<()>> + Send + 'static,
 {
-    let places = Arc::new(Semaphore::new(most));
+    let places = Arc::new(Mutex::new(Places::default()));
     loop {
-        let Ok(place) = places.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
-                let served = each(stream);
-                tokio::spawn(async move {
+                let full = locked(&places).taken.len() >= most;
+                if full && !locked(&places).make_room() {
+                    log::warn!("a {who} connection is closed: all {most} are owed an answer");
+                    continue;
+                }
+                let seat = Seat::take(&places);
+                let number = seat.number;
+                let served = each(stream, seat);
+                let task = tokio::spawn(async move {
                     if let Err(error) = served.await {
                         log::debug!("{who} connection: {error}");
                     }
-                    drop(place);
                 });
+                if let Some(taken) = locked(&places).taken.get_mut(&number) {
+                    taken.task = Some(task.abort_handle());
+                }
+                // What it has sent already is read before another connection may ask for its place.
+                tokio::task::yield_now().await;
             }
             Err(error) => {
-                // No descriptor is left: those in use come back soon.
+                // No descriptor is left: one that can be spared is given back at once.
                 log::error!("a {who} connection can't be accepted: {error}");
+                locked(&places).make_room();
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
         }
     }
 }
+
+/// Ends a connection whose client may still be sending: a close with input unread would reset away the
+/// refusal. Some of that is read and dropped; a client that sends for longer is cut off.
+pub async fn linger(stream: &mut TcpStream, buffer: &mut BytesMut) -> std::io::Result<()> {
+    stream.shutdown().await?;
+    let until = tokio::time::Instant::now() + LINGER_TIME;
+    let mut dropped = 0;
+    while dropped < LINGER_BYTES {
+        buffer.clear();
+        match tokio::time::timeout_at(until, stream.read_buf(buffer)).await {
+            Ok(Ok(read @ 1..)) => dropped += read,
+            _ => return Ok(()),
+        }
+    }
+    tokio::time::sleep_until(until).await;
+    Ok(())
+}
--- a/src/front/tds/mod.rs
+++ b/src/front/tds/mod.rs
@@ -4,7 +4,7 @@
 mod tls;
 
 use self::tls::Stream;
-use super::Door;
+use super::{Door, Seat};
 use crate::clock::Micros;
 use crate::core::{Answer, Arrival, Input};
 use crate::directory::Directory;
@@ -59,9 +59,9 @@
 
 /// Accepts connections until it is dropped.
 pub async fn serve(listener: TcpListener, front: Arc<Tds>, most: usize) {
-    let each = |stream| {
+    let each = |stream, seat| {
         let front = front.clone();
-        async move { serve_one(stream, &front).await }
+        async move { serve_one(stream, &seat, &front).await }
     };
     super::accept(listener, most, "TDS", each).await;
 }
@@ -101,14 +101,14 @@
     }
 }
 
-async fn serve_one(stream: TcpStream, front: &Tds) -> Io<()> {
+async fn serve_one(stream: TcpStream, seat: &Seat, front: &Tds) -> Io<()> {
     stream.set_nodelay(true)?;
     let login = tokio::time::timeout(LOGIN_TIME, async {
         let Some(mut connection) = prelogin(stream, front).await? else { return Ok(None) };
         Ok::<_, std::io::Error>(connection.login().await?.map(|tenant| (connection, tenant)))
     });
     match login.await.map_err(|_| std::io::ErrorKind::TimedOut)?? {
-        Some((connection, tenant)) => connection.run(tenant).await,
+        Some((connection, tenant)) => connection.run(seat, tenant).await,
         None => Ok(()),
     }
 }
@@ -144,10 +144,12 @@
 }
 
 impl Connection<'_> {
-    async fn run(mut self, tenant: String) -> Io<()> {
+    async fn run(mut self, seat: &Seat, tenant: String) -> Io<()> {
         loop {
+            seat.idle();
             let next = tokio::time::timeout(IDLE_TIME, self.next()).await;
             let Some(message) = next.map_err(|_| std::io::ErrorKind::TimedOut)?? else { return Ok(()) };
+            seat.busy();
             if !self.request(message, &tenant).await? {
                 return Ok(());
             }
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,9 +4,9 @@
 use sanddyke::admin::{self, Admin};
 use sanddyke::back::{Backs, Limits, Wire};
 use sanddyke::clock::{Clock, Micros};
-use sanddyke::config::Config;
+use sanddyke::config::{Config, Read};
 use sanddyke::core::{Core, EngineNews, Input};
-use sanddyke::discovery;
+use sanddyke::discovery::{self, Told};
 use sanddyke::front::Door;
 use sanddyke::front::http::{self, Http};
 use sanddyke::front::tds::{self, Tds};
@@ -19,6 +19,7 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 
 /// After SIGTERM clients still come for so long, and are served like any other.
 const STILL_COMING: Duration = Duration::from_millis(800);
@@ -34,6 +35,8 @@
 const MOST_CONNECTIONS: usize = 8;
 /// Connections to one engine where each carries one request.
 const MOST_TDS_CONNECTIONS: usize = 64;
+/// What of the configuration takes effect without a restart.
+const LIVE_KEYS: [&str; 3] = ["resolver", "service", "known"];
 
 /// Why the program can't go on.
 #[derive(Debug, Error)]
@@ -65,10 +68,29 @@
     TcpListener::bind(address).await.map_err(|error| Fatal::Listen(address, error))
 }
 
+/// Reads the configuration again, whole. One that can't be used changes nothing.
+fn reload(read: &mut Read, clock: &Clock, names: &watch::Sender<Told>) {
+    let config = match Config::from_env(clock) {
+        Ok(config) => config,
+        Err(error) => return log::error!("SIGHUP: the configuration stays as it was: {error}"),
+    };
+    for key in config.read.changed(read) {
+        match LIVE_KEYS.contains(&key.as_str()) {
+            true => log::info!("SIGHUP: {key} has changed"),
+            false => log::warn!("SIGHUP: {key} has changed, which counts from the next start only"),
+        }
+    }
+    *read = config.read;
+    names.send_replace(Told { resolver: config.resolver, service: config.service, listed: config.listed });
+    log::info!("SIGHUP: the configuration is read again");
+}
+
 async fn run() -> Result<(), Fatal> {
     let clock = Clock::start();
     let config = Config::from_env(&clock)?;
+    let mut read = config.read.clone();
     let mut terminated = signal(SignalKind::terminate())?;
+    let mut reloaded = signal(SignalKind::hangup())?;
     let (handle, queue) = Handle::new();
     let limits = Limits {
         connect_timeout: Micros::from_ms(config.connect_ms).to_duration(),
@@ -91,10 +113,9 @@
     let core = Core::new(told, config.max_open, config.seed, clock.now());
     tokio::spawn(service::run(core, clock, queue, backs));
     handle.tell(Input::Engines(EngineNews::Start(config.listed.engines()))).await?;
-    if let Some(resolver) = config.resolver {
-        let (listed, seed) = (config.listed, config.seed);
-        tokio::spawn(discovery::run(resolver, config.service, listed, handle.clone(), clock, seed));
-    }
+    let told = Told { resolver: config.resolver, service: config.service, listed: config.listed };
+    let (names, names_told) = watch::channel(told);
+    tokio::spawn(discovery::run(names_told, handle.clone(), clock, config.seed));
     let door = Door::default();
     let mut fronts = Vec::new();
     let places = config.sockets - config.sockets.min(RESERVED) / 2;
@@ -124,7 +145,12 @@
     }
     door.open();
     log::info!("{} is ready", config.name);
-    terminated.recv().await;
+    loop {
+        tokio::select! {
+            _ = terminated.recv() => break,
+            _ = reloaded.recv() => reload(&mut read, &clock, &names),
+        }
+    }
     log::info!("SIGTERM: finishing what is open");
     door.stop();
     tokio::time::sleep(STILL_COMING).await;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -56,7 +56,8 @@
     pub http: SocketAddr,
     pub tds: SocketAddr,
     pub admin: SocketAddr,
-    _files: tempdir::Dir,
+    config: Value,
+    files: tempdir::Dir,
 }
 
 /// A folder of this test's own that goes with it.
@@ -99,7 +100,7 @@
         .stderr(Stdio::inherit())
         .spawn()
         .unwrap();
-    let program = Program { child, http, tds, admin, _files: tempdir::Dir(folder) };
+    let program = Program { child, http, tds, admin, config, files: tempdir::Dir(folder) };
     until("the program is ready", || {
         TcpStream::connect(http).is_ok() && program.call("GET", "/check", &[], "").status == 200
     });
@@ -180,11 +181,30 @@
         read_reply(&mut stream).expect("an answer")
     }
 
-    pub fn terminate(&mut self) {
-        let kill = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+    fn signal(&self, name: &str) {
+        let kill = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
         assert!(kill.success());
     }
 
+    pub fn terminate(&mut self) {
+        self.signal("-TERM");
+    }
+
+    /// Writes the configuration anew, with one key changed, and has it read again.
+    pub fn reload(&self, key: &str, value: Value) {
+        let mut config = self.config.clone();
+        config[key] = value;
+        std::fs::write(self.files.0.join("config.json"), config.to_string()).unwrap();
+        self.signal("-HUP");
+    }
+
+    /// A connection whose reads fail rather than wait for ever.
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.http).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        stream
+    }
+
     pub fn wait(&mut self) -> std::process::ExitStatus {
         self.child.wait().unwrap()
     }
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -391,3 +391,68 @@
         assert_eq!(read_reply(&mut stream).unwrap().status, 200);
     }
 }
+
+/// Guards against clients that say nothing, or ask once and hold their connections for good: they gave way to
+/// nobody, and kept all others out.
+#[test]
+fn clients_that_hold_connections_keep_nobody_out() {
+    let engine = engines::lines();
+    let program = start(&[engine.address], json!({"limits": {"sockets": 64}}));
+    let silent: Vec<TcpStream> = (0..100).map(|_| program.connect()).collect();
+    let mut held = Vec::new();
+    for number in 0..100 {
+        let mut stream = program.connect();
+        let (name, fields) = (format!("{number:016x}"), [("X-Ttl-Ms", "4000"), ("X-Merchant", "acme")]);
+        let fields = [&fields[..], &[("X-Txn", name.as_str())]].concat();
+        stream.write_all(request("POST", "/do/lookup", &fields, "SELECT ok").as_bytes()).unwrap();
+        assert_eq!(read_reply(&mut stream).map(|reply| reply.status), Some(200), "{number}");
+        held.push(stream);
+    }
+    drop((silent, held));
+}
+
+/// Guards against a client that says nothing, or half of something: it is let go within 3 s.
+#[rstest]
+#[case("")]
+#[case("POST /do/lookup HTTP/1.1\r\nContent-Le")]
+#[case("POST /do/lookup HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc")]
+fn half_a_request_is_let_go(#[case] sent: &str) {
+    let (program, _engine) = service(Wire::Lines);
+    let (mut stream, began) = (program.connect(), Instant::now());
+    stream.write_all(sent.as_bytes()).unwrap();
+    assert_eq!(stream.read(&mut [0; 1]).unwrap(), 0);
+    let seconds = began.elapsed().as_secs();
+    assert!((2..9).contains(&seconds), "a slow client is given time, but not for long: {seconds} s");
+}
+
+/// Guards against a refusal that is lost: a close with input unread resets the connection, and what was
+/// written on it goes with it.
+#[test]
+fn a_refusal_reaches_a_client_that_is_still_sending() {
+    let (program, engine) = service(Wire::Lines);
+    let mut stream = program.connect();
+    let head = "POST /do/lookup HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    for _ in 0..4 {
+        std::thread::sleep(Duration::from_millis(50));
+        stream.write_all(&[b'x'; 10_000]).expect("the connection is not reset");
+    }
+    assert_eq!(read_reply(&mut stream).map(|reply| reply.status), Some(413));
+    assert_eq!(engine.count("REQ"), 0);
+}
+
+/// Guards against an end on SIGHUP. What is open goes on, a file that can't be used changes nothing, and a new
+/// name service is heeded, with the numbers going on.
+#[test]
+fn sighup_reads_the_configuration_again() {
+    let (old, new) = (engines::lines(), engines::lines());
+    let both = [old.address, new.address];
+    let program = start(&both, json!({}));
+    let mut open = program.send("v", "report", 3000, None, "SELECT slow");
+    until("it runs", || old.count("REQ") + new.count("REQ") == 1);
+    program.reload("resolver", json!("nowhere"));
+    program.reload("resolver", json!(names::service(both.to_vec()).to_string()));
+    let state = || program.admin("GET", "/engines", TOKEN).json()["engines"][0]["state"].clone();
+    until("the first engine drains", || state() == "draining");
+    assert_eq!(read_reply(&mut open).map(|reply| reply.status), Some(503));
+}
