Drop second copies of pages, blame no engine for a spoilt answer, forget engines that are gone

Now a copy is dropped; a page must end with its row; the end of a connection by what can't be read is the outcome Spoilt, which may have run and leaves the engine in use. Engines that are gone leave the core and their connections once nothing is out there, and the module after 30 s; the mean load of the others no longer counts those that are gone. Pages are bounded to 64 of 64 KB, kept results to 4 MB, bodies to 64 KB (all clients of 32 MB could send 256 KB at once before), a wait to an hour, and a field that is there twice is refused.

--- a/src/back/lines/connection.rs
+++ b/src/back/lines/connection.rs
@@ -303,9 +303,12 @@
     /// client before all are here, so that an engine that dies between pages costs an attempt, not the answer.
     async fn page(&mut self, line: Line) -> Result<(), Over> {
         let Some(carried) = self.carried.get_mut(&line.id) else { return Ok(()) };
-        let Ok(rows) = parse::rows(&line.body) else {
-            log::warn!("a page is not text: the connection ends");
-            return Err(Over::Connection(ConnectionEnd::Garbled));
+        let rows = match parse::rows(&line.body) {
+            Ok(rows) => rows,
+            Err(error) => {
+                log::warn!("an engine's page can't be used, its connection ends: {error}");
+                return Err(Over::Connection(ConnectionEnd::Garbled));
+            }
         };
         let first = line.word == Word::Ok && carried.pages.is_empty();
         if first {
@@ -313,11 +316,19 @@
             carried.usage = line.fields.usage;
             carried.report = line.fields.report;
         }
-        let number = if first { 0 } else { line.fields.sheet.unwrap_or(0) as usize };
-        let Some(place) = carried.pages.get_mut(number).filter(|page| page.is_none()) else {
+        let number = match line.word {
+            Word::Chunk => line.fields.sheet.filter(|number| *number > 0).unwrap_or(u32::MAX) as usize,
+            _ => 0,
+        };
+        let Some(place) = carried.pages.get_mut(number) else {
             log::warn!("an engine sent a page that nobody asked for: the connection ends");
             return Err(Over::Connection(ConnectionEnd::Garbled));
         };
+        if place.is_some() {
+            // Guards against a second copy: dropped, and what else the connection carries lives on.
+            log::debug!("an engine sent a page twice");
+            return Ok(());
+        }
         *place = Some(rows);
         let pages = carried.pages.len();
         if first {
--- a/src/back/lines/parse.rs
+++ b/src/back/lines/parse.rs
@@ -13,9 +13,9 @@
 
 /// The longest line and body read.
 const LONGEST_LINE: usize = 4096;
-const LONGEST_BODY: usize = 1 << 20;
+const LONGEST_BODY: usize = 64 * 1024;
 /// The most pages of one result.
-const MOST_PAGES: u32 = 1024;
+const MOST_PAGES: u32 = 64;
 
 /// Why an engine's bytes could not be read.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -32,6 +32,9 @@
     /// Not a line of the protocol.
     #[error("cannot read the line {0:?}")]
     Word(String),
+    /// A page that ends within a row.
+    #[error("a page that ends within a row")]
+    Row,
     /// A page that is not text.
     #[error("a page that is not UTF-8")]
     Text,
@@ -204,9 +207,12 @@
     Ok(Some(Line { id, word, fields, body }))
 }
 
-/// The rows of a page: columns part at tabs, and each row ends in a line feed.
+/// The rows of a page: columns part at tabs, and each row ends in a line feed. One that was cut off does not.
 pub fn rows(page: &[u8]) -> Result<Vec<Row>, Garbled> {
     let text = std::str::from_utf8(page).map_err(|_| Garbled::Text)?;
+    if !text.is_empty() && !text.ends_with('\n') {
+        return Err(Garbled::Row);
+    }
     let row = |line: &str| line.split('\t').map(|cell| Some(cell.to_owned())).collect();
     Ok(text.split_terminator('\n').map(row).collect())
 }
--- a/src/back/mod.rs
+++ b/src/back/mod.rs
@@ -103,7 +103,7 @@
     }
 }
 
-/// All engines that were ever listed.
+/// All engines that are listed, or still hold something.
 #[derive(Debug)]
 pub struct Backs {
     wire: Wire,
@@ -139,6 +139,11 @@
                 (engine, Order::Rank((request, attempt), priority))
             }
             Command::Probe { engine } => (engine, Order::Probe),
+            // Its task ends with the way to it, and so do its connections.
+            Command::Forget { engine } => {
+                self.links.remove(&engine);
+                return None;
+            }
             Command::Answer { .. } | Command::Log(_) => return None,
         };
         let refused = match self.links.get(&engine) {
--- a/src/config.rs
+++ b/src/config.rs
@@ -27,7 +27,8 @@
 const DEFAULT_STREAMS: usize = 100;
 const DEFAULT_CONNECT_MS: f64 = 250.0;
 const DEFAULT_KEEPALIVE_MS: f64 = 30_000.0;
-const DEFAULT_PAGE_BYTES: usize = 64 * 1024;
+/// Above the longest result of the platform's engines: their pages cost a call each, and memory.
+const DEFAULT_PAGE_BYTES: usize = 256 * 1024;
 const DEFAULT_SERVICE: &str = "_api._tcp.svc.local";
 
 /// Why the program can't start.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -212,6 +212,17 @@
             unnamed.for_each(|(_, engine)| engine.state = EngineState::Gone);
         }
         self.decide(now, Event::List(news), out);
+        let gone: Vec<u64> = self.engines.keys().copied().collect();
+        gone.into_iter().for_each(|id| self.forget_gone(id, out));
+    }
+
+    /// Drops an engine that is gone, once nothing is out there. New ones come all day long.
+    fn forget_gone(&mut self, id: u64, out: &mut Vec<Command>) {
+        let gone = self.engines.get(&id).is_some_and(|engine| engine.state == EngineState::Gone);
+        if gone && !self.attempts.values().any(|attempt| attempt.engine == id) {
+            self.engines.remove(&id);
+            out.push(Command::Forget { engine: id });
+        }
     }
 
     /// One line on what is open, for the log: of each class how many wait and how many are out.
--- a/src/core/send.rs
+++ b/src/core/send.rs
@@ -111,5 +111,6 @@
             report,
         });
         self.decide(now, event, out);
+        self.forget_gone(ended.engine, out);
     }
 }
--- a/src/core/take_in.rs
+++ b/src/core/take_in.rs
@@ -10,6 +10,9 @@
 /// The longest name or key taken, in bytes.
 const LONGEST_NAME: usize = 128;
 
+/// No client waits longer; who says so has miscounted.
+const LONGEST_WAIT: Micros = Micros(3_600_000_000);
+
 /// Why a request could not be used.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum Invalid {
@@ -23,7 +26,7 @@
     #[error("a request of class {0:?} needs an idempotency key")]
     Key(String),
     /// It has no time left, or more than any client waits.
-    #[error("the time budget must be above 0")]
+    #[error("the time budget must be above 0, and an hour at most")]
     Budget,
     /// Another request of that name is open.
     #[error("a request of this id is open")]
@@ -68,7 +71,7 @@
         if arrival.statement.trim().is_empty() || arrival.statement.len() > LONGEST_STATEMENT {
             return Err(Invalid::Text("the statement"));
         }
-        if arrival.left.0 <= 0 {
+        if arrival.left.0 <= 0 || arrival.left > LONGEST_WAIT {
             return Err(Invalid::Budget);
         }
         match self.names.contains(&arrival.name) {
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -116,9 +116,9 @@
                 Outcome::NoConnection
             }
             // It was written, so it may have run.
-            ConnectionEnd::Closed | ConnectionEnd::Reset | ConnectionEnd::Garbled | ConnectionEnd::Silent => {
-                Outcome::ConnectionLost
-            }
+            ConnectionEnd::Closed | ConnectionEnd::Reset | ConnectionEnd::Silent => Outcome::ConnectionLost,
+            // It reads and answers: the fault is the connection's, not the engine's.
+            ConnectionEnd::Garbled => Outcome::Spoilt,
             ConnectionEnd::TimedOut => Outcome::TimedOut,
             ConnectionEnd::GivenUp => Outcome::Cancelled,
         }
@@ -276,6 +276,11 @@
         /// Its state.
         state: EngineState,
     },
+    /// An engine is gone and nothing is out there: no more will be wanted of it.
+    Forget {
+        /// Which.
+        engine: u64,
+    },
     /// A line for the log.
     Log(String),
 }
--- a/src/front/http/message.rs
+++ b/src/front/http/message.rs
@@ -6,12 +6,12 @@
 use winnow::Parser;
 use winnow::combinator::{opt, preceded, repeat, terminated};
 use winnow::error::ContextError;
-use winnow::token::{take_till, take_while};
+use winnow::token::take_while;
 
 /// The longest head and body read, and the most header fields.
 const LONGEST_HEAD: usize = 16 * 1024;
 /// The longest body, in bytes.
-pub const LONGEST_BODY: usize = 256 * 1024;
+pub const LONGEST_BODY: usize = 64 * 1024;
 const MOST_FIELDS: usize = 64;
 
 /// Why a request could not be read; each has the status that answers it.
@@ -87,7 +87,7 @@
 
 fn field(input: &mut &str) -> Out<(String, String)> {
     let name = take_while(1.., is_token);
-    let value = take_till(0.., ['\r', '\n']);
+    let value = take_while(0.., |c: char| c == '\t' || !c.is_control());
     let line = (terminated(name, ':'), terminated(value, "\r\n"));
     line.map(|(name, value): (&str, &str)| (name.to_owned(), value.trim_matches([' ', '\t']).to_owned()))
         .parse_next(input)
--- a/src/front/http/mod.rs
+++ b/src/front/http/mod.rs
@@ -118,8 +118,17 @@
     Response::json(status, serde_json::json!({ "fault": "Unusable", "why": why }).to_string())
 }
 
+/// A field that has to be there, once: of two the engine might be told one and the books the other.
 fn field<'a>(request: &'a Request, name: &str) -> Result<&'a str, Response> {
-    request.field(name).ok_or_else(|| unusable(400, &format!("{name} is missing")))
+    optional(request, name)?.ok_or_else(|| unusable(400, &format!("{name} is missing")))
+}
+
+fn optional<'a>(request: &'a Request, name: &str) -> Result<Option<&'a str>, Response> {
+    let mut values = request.fields.iter().filter(|(known, _)| known.eq_ignore_ascii_case(name));
+    match (values.next(), values.next()) {
+        (_, Some(_)) => Err(unusable(400, &format!("{name} is there twice"))),
+        (found, None) => Ok(found.map(|(_, value)| value.as_str())),
+    }
 }
 
 impl Http {
@@ -164,8 +173,8 @@
             request: 0,
             name: name.to_owned(),
             class: class.to_owned(),
-            tenant: request.field("X-Merchant").map(str::to_owned),
-            key: request.field("X-Txn-Key").map(str::to_owned),
+            tenant: optional(request, "X-Merchant")?.map(str::to_owned),
+            key: optional(request, "X-Txn-Key")?.map(str::to_owned),
             statement: statement.into(),
             left: Micros::from_ms(ttl as f64),
         })
--- a/src/front/http/pages.rs
+++ b/src/front/http/pages.rs
@@ -6,7 +6,7 @@
 
 /// Results and bytes kept at once.
 const MOST_RESULTS: usize = 512;
-const MOST_BYTES: usize = 32 << 20;
+const MOST_BYTES: usize = 4 << 20;
 
 /// The pages that clients may still call.
 #[derive(Debug, Default)]
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -292,6 +292,8 @@
     NoConnection,
     /// Connection broken; may have run.
     ConnectionLost,
+    /// Its answer was spoilt on the way or never came; it may have run, and the engine is not to blame.
+    Spoilt,
     /// Cancelled; may have run.
     Cancelled,
     /// Never sent.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -55,6 +55,7 @@
 // --- Health ---
 const DOWN_AFTER: u32 = 2; // failed connections in a row after which an engine counts as down
 const DOWN_REST_MS: f64 = 500.0; // its rest after each (ms)
+const GONE_KEPT_MS: f64 = 30_000.0; // an engine that comes back under its name within this is not new (ms)
 const RESTART_MS: f64 = 1500.0; // down for longer than this, an engine has restarted and is cold (ms)
 const SLOW_WEIGHT: f64 = 0.1; // weight of one answer in an engine's slowness
 const SLOW_FADE_MS: f64 = 8000.0; // time in which slowness fades without answers (ms)
@@ -122,6 +123,7 @@
     cores: f64,
     memory_mb: f64,
     cold_until: Millis,
+    gone_since: Option<Millis>,
     own: Load,
     others: f64, // queries that the other gateways run here, by reports
     reported: Option<Millis>,
@@ -359,6 +361,14 @@
             engine.cold_until = engine.cold_until.max(warm);
             engine.entry = entry;
         }
+        // New engines come under new names all day long: one that has been gone for long is forgotten.
+        let now = self.now;
+        for engine in self.engines.values_mut() {
+            let gone = engine.entry.state == EngineState::Gone;
+            engine.gone_since = engine.gone_since.or(Some(now)).filter(|_| gone);
+        }
+        let over = |engine: &Engine| engine.gone_since.is_some_and(|at| now - at > GONE_KEPT_MS);
+        self.engines.retain(|_, engine| !over(engine) || engine.own.queries > 0.5);
     }
 
     fn on_request(&mut self, request: Request) {
@@ -424,7 +434,8 @@
             self.learn(&attempt, end);
         }
         self.mark(attempt.engine, end.outcome);
-        let unknown = matches!(end.outcome, Outcome::TimedOut | Outcome::ConnectionLost | Outcome::Cancelled);
+        let unread = matches!(end.outcome, Outcome::ConnectionLost | Outcome::Spoilt);
+        let unknown = unread || matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled);
         let rest = if unknown { self.settings.rules.key_settle_ms } else { 0.0 };
         let line = attempt.key.and_then(|key| self.lines.get_mut(&key));
         line.into_iter().for_each(|line| line.rest_until = line.rest_until.max(self.now + rest));
@@ -926,7 +937,8 @@
     fn note_report(&mut self, id: EngineId, report: Option<LoadReport>) {
         let threads = self.mix().threads;
         let queries: f64 = self.engines.values().map(|engine| engine.own.queries).sum();
-        let alike = queries / self.engines.len().max(1) as f64 * (1.0 / self.pace.part - 1.0);
+        let listed = self.engines.values().filter(|to| to.entry.state != EngineState::Gone).count();
+        let alike = queries / listed.max(1) as f64 * (1.0 / self.pace.part - 1.0);
         let (Some(engine), Some(report)) = (self.engines.get_mut(&id), report) else { return };
         let own = engine.probe.take().unwrap_or(engine.own);
         let known = !self.pace.tiny || engine.reported.is_some_and(|at| self.now - at < 2.0 * FRESH_MS);
--- a/tests/common/engines.rs
+++ b/tests/common/engines.rs
@@ -1,5 +1,5 @@
 //! Stand-in engines on lines and on TDS. What a statement holds decides what they do with it: `ok`, `big`,
-//! `fail`, `full`, `die`, `garble`, and `slow`, which runs until it is stopped.
+//! `fail`, `full`, `die`, `garble`, `torn`, `twice`, and `slow`, which runs until it is stopped.
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -44,6 +44,7 @@
     loop {
         let mut line = String::new();
         if input.read_line(&mut line)? == 0 {
+            seen.lock().unwrap().push("END OF CONNECTION".to_owned());
             return Ok(());
         }
         let words: Vec<&str> = line.trim_end().split(' ').collect();
@@ -78,6 +79,13 @@
             return Ok(());
         } else if has("garble") {
             write!(out, "what is this\r\n")?;
+        } else if has("twice") {
+            // A good answer that brings more than belongs to it: under an id that nobody has, and again.
+            let first = format!("{id} 200 sheets=2,toil=100,room=8 8\r\na\tb\nc\td\n\r\n");
+            big.insert(id.to_owned(), false);
+            write!(out, "00000000000000ee 200 sheets=1 4\r\nx\ty\n\r\n{first}{first}")?;
+        } else if has("torn") {
+            write!(out, "{id} 200 sheets=1,toil=100,room=8 6\r\na\tb\nc\t\r\n")?;
         } else if has("big") {
             // The first try of a `big once` ends between its pages.
             let again = seen.lock().unwrap().iter().filter(|line| line.contains("big once")).count() > 1;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -325,3 +325,17 @@
     assert!(first.len() == 1 && second.len() == 1 && first != second, "{first:?} {second:?}");
     assert_eq!(places(0, None).len(), 2);
 }
+
+/// Guards against blaming an engine for answers that were spoilt on the way: it takes the next request at once,
+/// where one whose connections break rests.
+#[test]
+fn an_engine_whose_answers_are_spoilt_does_not_rest() {
+    for (outcome, many) in [(Outcome::Spoilt, 1), (Outcome::ConnectionLost, 0)] {
+        let class = ClassSettings { effect: Effect::Once, ..ClassSettings::default() };
+        let mut gateway = gateway(settings(class), &[engine(1)]);
+        take(&mut gateway, 1.0, request(1));
+        let out = end(&mut gateway, 20.0, 1, 0, outcome);
+        assert!(out.contains(&Action::Fail(RequestId(1))), "it may have run: {out:?}");
+        assert_eq!(sends(&take(&mut gateway, 21.0, request(2))).len(), many, "{outcome:?}");
+    }
+}
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::engines::{self, Engine};
-use common::{Program, TOKEN, ldap, names, read_reply, request, start, until};
+use common::{Program, TOKEN, endpoint, ldap, names, read_reply, request, start, until};
 use rstest::rstest;
 use serde_json::json;
 use std::io::{Read, Write};
@@ -196,6 +196,8 @@
 #[rstest]
 #[case("X-Txn", "xyz", 400)]
 #[case("X-Ttl-Ms", "soon", 400)]
+#[case("X-Ttl-Ms", "999999999999", 400)]
+#[case("x-ttl-ms", "900", 400)]
 #[case("X-Merchant", "nobody", 400)]
 #[case("Content-Length", "7", 400)]
 fn a_malformed_request_is_answered_and_reaches_no_engine(
@@ -456,3 +458,45 @@
     until("the first engine drains", || state() == "draining");
     assert_eq!(read_reply(&mut open).map(|reply| reply.status), Some(503));
 }
+
+/// Guards against what a good answer may bring besides: a copy of it, or an answer that nobody awaits. They are
+/// dropped, and what else the connection carries lives on.
+#[test]
+fn more_than_belongs_to_an_answer_is_dropped() {
+    let (program, engine) = service(Wire::Lines);
+    let mut neighbour = program.send("n", "report", 1500, None, "SELECT slow");
+    until("it runs", || engine.count("slow") == 1);
+    let reply = read_reply(&mut program.send("w", "lookup", 4000, None, "SELECT twice")).unwrap();
+    assert_eq!((reply.status, &reply.json()["result"]), (200, &json!([["a", "b"], ["c", "d"], ["e", "f"]])));
+    assert_eq!(read_reply(&mut neighbour).map(|reply| reply.status), Some(503));
+    assert_eq!((engine.count("twice"), engine.count("slow")), (1, 1));
+}
+
+/// Guards against a page that was cut off within a row: it is never passed on as a whole one.
+#[test]
+fn a_page_that_ends_within_a_row_is_spoilt_and_its_engine_is_not_to_blame() {
+    let (program, engine) = service(Wire::Lines);
+    let reply = read_reply(&mut program.send("x", "lookup", 4000, None, "SELECT torn")).unwrap();
+    assert_eq!((reply.status, engine.count("torn")), (503, 3));
+    let metrics = program.admin("GET", "/metrics", TOKEN).body;
+    assert!(metrics.contains(r#"sanddyke_attempts_total{outcome="Spoilt"} 3"#), "{metrics}");
+}
+
+/// Guards against engines that come and go all day: one that is gone is forgotten with its connections, but
+/// not before what is out there is over.
+#[test]
+fn an_engine_that_is_gone_is_forgotten_once_nothing_is_out_there() {
+    let (old, new) = (engines::lines(), engines::lines());
+    let program = start(&[old.address], json!({}));
+    let mut open = program.send("y", "report", 2500, None, "SELECT slow");
+    until("it runs", || old.count("REQ") == 1);
+    let list = json!([{"rev": 2, "pool": {"snapshot": true, "endpoints": [endpoint("f0", new.address)]}}]);
+    program.reload("known", json!({"rev": 2, "notices": list}));
+    let engines = || program.admin("GET", "/engines", TOKEN).json()["engines"].as_array().unwrap().clone();
+    until("the new one is listed", || engines().len() == 2);
+    assert_eq!(engines()[0]["state"], "gone");
+    assert_eq!(read_reply(&mut open).map(|reply| reply.status), Some(503));
+    until("the old one is forgotten", || engines().len() == 1);
+    assert_eq!(engines()[0]["name"], "f0");
+    until("its connections are closed", || old.count("END OF CONNECTION") >= 1);
+}
