Give up answers that never come, leave out engines that stand still, share out connections

Ruled out: engines' queues and pauses, which speak all the same, and the time from answer to client (p99 2.4 ms).

At fault: back/lines/connection.rs time_passed() knew the silence of a connection only, not that of a request or of a line in part; logic.rs counted a probe that nobody answered as a fresh report (handle(), Event::Probed) and did nothing else about it, and counted one broken connection once for each request on it (mark()); back/lines/mod.rs filled one connection up to 100 streams before the next.

Now a request of which nothing is said for three of the words owed is stopped there and ends as Spoilt; a line must be whole within 1 s; two unanswered probes in a row leave an engine out until it answers; losses within 50 ms are one failure; a connection that carries 4 is spared while there may be another (4 for each engine).

Each test fails without the change.

--- a/src/back/lines/connection.rs
+++ b/src/back/lines/connection.rs
@@ -23,6 +23,8 @@
 /// A request that the engine holds.
 struct Carried {
     attempt: AttemptId,
+    /// When the engine last spoke of it: it does so all the time until the answer.
+    heard: Micros,
     pages: Vec<Option<Vec<Row>>>,
     usage: Option<Usage>,
     report: Option<LoadReport>,
@@ -41,6 +43,8 @@
     used: Micros,
     /// Since when the engine owes word and has sent none. Probes that timed out leave it as it is.
     owes_since: Option<Micros>,
+    /// Since when a line is there in part.
+    part_since: Option<Micros>,
 }
 
 /// Why a connection's loop ended.
@@ -81,6 +85,7 @@
         heard: now,
         used: now,
         owes_since: None,
+        part_since: None,
     };
     let (over, unwritten) = match stream {
         Ok(stream) => (state.carry(stream, &mut orders).await, ConnectionEnd::NeverWritten),
@@ -172,8 +177,14 @@
     fn next_wake(&self) -> Instant {
         let limits = &self.uplink.limits;
         let probes = self.probes.values().map(|sent| *sent + limits.probe_timeout);
-        let silent = self.silent_at();
-        let at = probes.chain(silent).min().unwrap_or(self.used + limits.idle_after);
+        let unheard = self.carried.values().map(|carried| carried.heard + limits.silent_after);
+        let part = self.part_since.map(|since| since + limits.line_within);
+        let at = probes
+            .chain(unheard)
+            .chain(self.silent_at())
+            .chain(part)
+            .min()
+            .unwrap_or(self.used + limits.idle_after);
         self.uplink.clock.instant(at)
     }
 
@@ -192,7 +203,7 @@
             self.owes_since.get_or_insert(now);
         }
         match order {
-            Order::Launch(attempt, call) => self.launch(attempt, call),
+            Order::Launch(attempt, call) => self.launch(attempt, call, now),
             Order::Halt(attempt, confirm) => {
                 if let Some(name) = self.name_of(attempt) {
                     self.line(format_args!("STOP {name}\r\n"));
@@ -222,7 +233,7 @@
         }
     }
 
-    fn launch(&mut self, attempt: AttemptId, call: Call) {
+    fn launch(&mut self, attempt: AttemptId, call: Call, now: Micros) {
         let patience = parse::patience(call.patience.to_duration());
         let key = call.key.map(|key| format!(",op={key}")).unwrap_or_default();
         let Call { name, class, priority, statement, .. } = call;
@@ -230,7 +241,8 @@
         self.line(format_args!(
             "REQ {name} sort={class},patience={patience}{key},urgency={priority} {length}\r\n{statement}\r\n"
         ));
-        self.carried.insert(name, Carried { attempt, pages: Vec::new(), usage: None, report: None });
+        self.carried
+            .insert(name, Carried { attempt, pages: Vec::new(), usage: None, report: None, heard: now });
     }
 
     fn line(&mut self, text: std::fmt::Arguments<'_>) {
@@ -254,8 +266,15 @@
     async fn take(&mut self, received: &mut BytesMut) -> Result<(), Over> {
         loop {
             match parse::next(received) {
-                Ok(Some(line)) => self.said(line).await?,
-                Ok(None) => return Ok(()),
+                Ok(Some(line)) => {
+                    self.part_since = None;
+                    self.said(line).await?;
+                }
+                Ok(None) => {
+                    let heard = self.heard;
+                    self.part_since = (!received.is_empty()).then(|| self.part_since.unwrap_or(heard));
+                    return Ok(());
+                }
                 Err(error) => {
                     log::warn!("an engine's line can't be used, its connection ends: {error}");
                     return Err(Over::Connection(ConnectionEnd::Garbled));
@@ -278,6 +297,7 @@
         }
         // Word of what was given up crosses its stop: it is not heard.
         let Some(carried) = self.carried.get_mut(&line.id) else { return Ok(()) };
+        carried.heard = self.heard;
         let attempt = carried.attempt;
         match line.word {
             Word::Status => {
@@ -355,6 +375,22 @@
         if self.silent_at().is_some_and(|at| now >= at) {
             return Err(Over::Connection(ConnectionEnd::Silent));
         }
+        // Guards against an answer that stops short, or trickles: nothing behind it can be read any more.
+        if self.part_since.is_some_and(|since| now >= since + limits.line_within) {
+            log::warn!("an engine's line does not end, its connection ends");
+            return Err(Over::Connection(ConnectionEnd::Garbled));
+        }
+        // Guards against an answer, or a page, that never comes: the request may go elsewhere before its end.
+        let unheard = self.carried.iter().filter(|(_, one)| now >= one.heard + limits.silent_after);
+        let unheard: Vec<String> = unheard.map(|(name, _)| name.clone()).collect();
+        for name in unheard {
+            log::warn!("an engine says no more of request {name}: given up there");
+            self.line(format_args!("STOP {name}\r\n"));
+            if let Some(carried) = self.drop_carried(&name) {
+                self.uplink.ended(carried.attempt, ConnectionEnd::Unheard).await?;
+            }
+        }
+        let limits = &self.uplink.limits;
         if !self.is_busy() && now >= self.used + limits.idle_after {
             return Err(Over::Idle);
         }
--- a/src/back/lines/mod.rs
+++ b/src/back/lines/mod.rs
@@ -12,6 +12,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::sync::mpsc;
 
+/// A connection that carries so much is spared, as long as there may be another.
+const LIGHT: usize = 4;
 /// What may wait for one connection.
 const QUEUE: usize = 1024;
 
@@ -48,16 +50,17 @@
                 }
             }
             Order::Launch(..) | Order::Probe => {
-                let streams = uplink.limits.streams;
-                let room = |one: &&Connection| !one.retired && one.carried.load(Ordering::Relaxed) < streams;
-                if !connections.iter().any(|one| room(&one)) && connections.len() < uplink.limits.connections
-                {
+                // What ends a connection takes all that it carries with it: few are put on one.
+                let load = |one: &Connection| one.carried.load(Ordering::Relaxed);
+                let room = |one: &&Connection| !one.retired && load(one) < uplink.limits.streams;
+                let light = |one: &Connection| room(&one) && load(one) < LIGHT;
+                if !connections.iter().any(light) && connections.len() < uplink.limits.connections {
                     let (sender, queue) = mpsc::channel(QUEUE);
                     let carried = Arc::new(AtomicUsize::new(0));
                     tokio::spawn(connection::run(uplink.clone(), address, queue, carried.clone()));
                     connections.push(Connection { orders: sender, carried, retired: false });
                 }
-                let target = connections.iter().find(room);
+                let target = connections.iter().filter(room).min_by_key(|one| load(one));
                 let launch = matches!(order, Order::Launch(..));
                 let unsent = match target {
                     Some(connection) => connection.orders.try_send(order).err().map(|full| full.into_inner()),
--- a/src/back/mod.rs
+++ b/src/back/mod.rs
@@ -51,6 +51,8 @@
     pub probe_timeout: Micros,
     /// An engine that owes word and says nothing for this long is gone.
     pub silent_after: Micros,
+    /// A line of an engine's is there whole by then, from its first byte.
+    pub line_within: Micros,
     /// Idle connections are closed after this long.
     pub idle_after: Micros,
     /// Attempts that one connection carries at once.
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -98,6 +98,8 @@
     Garbled,
     /// The engine said nothing for too long.
     Silent,
+    /// The engine spoke of others, but no more of this one.
+    Unheard,
     /// No answer in the time that it had.
     TimedOut,
     /// Given up by the workload manager.
@@ -118,7 +120,7 @@
             // It was written, so it may have run.
             ConnectionEnd::Closed | ConnectionEnd::Reset | ConnectionEnd::Silent => Outcome::ConnectionLost,
             // It reads and answers: the fault is the connection's, not the engine's.
-            ConnectionEnd::Garbled => Outcome::Spoilt,
+            ConnectionEnd::Garbled | ConnectionEnd::Unheard => Outcome::Spoilt,
             ConnectionEnd::TimedOut => Outcome::TimedOut,
             ConnectionEnd::GivenUp => Outcome::Cancelled,
         }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -54,6 +54,8 @@
 
 // --- Health ---
 const DOWN_AFTER: u32 = 2; // failed connections in a row after which an engine counts as down
+const SILENT_AFTER: u32 = 2; // unanswered probes in a row after which an engine gets nothing until it answers
+const ONE_LOSS_MS: f64 = 50.0; // attempts lost so close together went down with one connection (ms)
 const DOWN_REST_MS: f64 = 500.0; // its rest after each (ms)
 const GONE_KEPT_MS: f64 = 30_000.0; // an engine that comes back under its name within this is not new (ms)
 const RESTART_MS: f64 = 1500.0; // down for longer than this, an engine has restarted and is cold (ms)
@@ -130,6 +132,8 @@
     lag: f64,  // what the last probe took over the quickest of its zone, in the quickest of all
     slow: f64, // time that answers take over the time that they would take alone
     failures: u32,
+    lost_at: Option<Millis>, // when a connection to it last broke
+    unheard: u32,            // probes in a row that it left unanswered
     down_since: Option<Millis>,
     rest_until: Millis,
     loading: Vec<u64>, // data sets that own loads hold here: another load on one would stand still
@@ -324,7 +328,13 @@
             Event::Note { request, attempt, note } => self.on_note(request, attempt, note),
             Event::Probed { engine, outcome, elapsed_ms, report } => {
                 self.note_lag(engine, elapsed_ms);
-                self.note_report(engine, Some(report.unwrap_or_default()));
+                // A probe that nobody answered is no word, and no report either.
+                let word = (outcome == Outcome::Served).then(|| report.unwrap_or_default());
+                self.note_report(engine, word);
+                self.engines.entry(engine).and_modify(|engine| {
+                    engine.probe = None;
+                    engine.unheard += u32::from(outcome == Outcome::TimedOut);
+                });
                 self.mark(engine, outcome);
             }
             Event::ClientGone(id) => self.on_gone(id),
@@ -642,7 +652,8 @@
         let empty = engine.own.queries + engine.others < 1.0;
         let crammed = !empty && held + job.memory > MEMORY_FULL * engine.memory_mb;
         let standing = job.data_set.is_some_and(|set| self.stands_on(engine, set));
-        if unproven || crammed || standing || self.now < engine.rest_until {
+        let silent = engine.unheard >= SILENT_AFTER;
+        if unproven || crammed || standing || silent || self.now < engine.rest_until {
             return false;
         }
         let total = engine.own.threads + engine.others * mix.threads;
@@ -902,7 +913,7 @@
         let Some(engine) = self.engines.get_mut(&id) else { return };
         match outcome {
             Outcome::Served => {
-                engine.failures = 0;
+                (engine.failures, engine.unheard) = (0, 0);
                 let Some(since) = engine.down_since.take() else { return };
                 let warm =
                     f64::from(self.now - since > RESTART_MS) * (self.now + self.settings.rules.warm_up_ms);
@@ -912,9 +923,12 @@
             }
             Outcome::Full => engine.rest_until = self.now + FULL_REST_MS,
             Outcome::NoConnection | Outcome::ConnectionLost => {
-                engine.failures += 1;
+                let lost = (outcome == Outcome::ConnectionLost).then_some(self.now);
+                let again = lost.zip(engine.lost_at).is_some_and(|(now, before)| now - before < ONE_LOSS_MS);
+                engine.lost_at = lost.or(engine.lost_at);
+                engine.failures += u32::from(!again);
                 engine.rest_until = self.now + DOWN_REST_MS;
-                if engine.failures == DOWN_AFTER {
+                if engine.failures == DOWN_AFTER && !again {
                     engine.down_since = Some(self.now);
                     self.out.push(Action::Log(format!("engine {} down: no connection", id.0)));
                 }
@@ -940,6 +954,7 @@
         let listed = self.engines.values().filter(|to| to.entry.state != EngineState::Gone).count();
         let alike = queries / listed.max(1) as f64 * (1.0 / self.pace.part - 1.0);
         let (Some(engine), Some(report)) = (self.engines.get_mut(&id), report) else { return };
+        engine.unheard = 0;
         let own = engine.probe.take().unwrap_or(engine.own);
         let known = !self.pace.tiny || engine.reported.is_some_and(|at| self.now - at < 2.0 * FRESH_MS);
         engine.reported = Some(self.now); // also without figures
@@ -959,7 +974,8 @@
         let every = listed.count() as f64 / (PROBES_PER_REQUEST * self.pace.arrival_rate.max(0.001));
         self.pace.probe_at = self.now + every.clamp(PROBE_LEAST_MS, 4.0 * PROBE_LEAST_MS);
         let all = !self.pace.tiny;
-        let due = |to: &&mut Engine| (all || to.down_since.is_some()) && to.entry.state != EngineState::Gone;
+        let lost = |to: &Engine| to.down_since.is_some() || to.unheard >= SILENT_AFTER;
+        let due = |to: &&mut Engine| (all || lost(to)) && to.entry.state != EngineState::Gone;
         for engine in self.engines.values_mut().filter(due) {
             engine.probe = Some(engine.own);
             self.out.push(Action::Probe(engine.entry.id));
--- a/src/main.rs
+++ b/src/main.rs
@@ -25,14 +25,18 @@
 const STILL_COMING: Duration = Duration::from_millis(800);
 /// Time in which the last answers leave the machine.
 const LAST_WORDS: Duration = Duration::from_millis(50);
-/// An engine that owes word and says nothing for so long is gone; pauses are far shorter.
+/// An engine that owes word and says nothing for so long is gone, and so is an answer of which it says nothing
+/// more. Where it is known how often it tells of each request, so many of its words may be missing.
 const SILENT_AFTER: Micros = Micros(3_000_000);
+const WORDS_MISSING: f64 = 3.0;
+/// What an engine has begun to say is there whole by then.
+const LINE_WITHIN: Micros = Micros(1_000_000);
 /// Descriptors that are not for clients: engines, the name service, files.
 const RESERVED: usize = 160;
 /// Clients hold at most this part of the descriptors, each for one open request.
 const CLIENTS_PART: usize = 3;
 /// Connections to one engine.
-const MOST_CONNECTIONS: usize = 8;
+const MOST_CONNECTIONS: usize = 4;
 /// Connections to one engine where each carries one request.
 const MOST_TDS_CONNECTIONS: usize = 64;
 /// What of the configuration takes effect without a restart.
@@ -95,7 +99,11 @@
     let limits = Limits {
         connect_timeout: Micros::from_ms(config.connect_ms).to_duration(),
         probe_timeout: Micros::from_ms(config.connect_ms),
-        silent_after: SILENT_AFTER,
+        silent_after: match config.front.settings.engines.notes_every_ms {
+            every if every > 0.0 => Micros::from_ms(every * WORDS_MISSING).max(LINE_WITHIN),
+            _ => SILENT_AFTER,
+        },
+        line_within: LINE_WITHIN,
         // A little before the engine does, so that no request crosses its close.
         idle_after: Micros::from_ms(config.keepalive_ms * 0.8),
         streams: config.streams,
--- a/tests/common/engines.rs
+++ b/tests/common/engines.rs
@@ -1,5 +1,5 @@
 //! Stand-in engines on lines and on TDS. What a statement holds decides what they do with it: `ok`, `big`,
-//! `fail`, `full`, `die`, `garble`, `torn`, `twice`, and `slow`, which runs until it is stopped.
+//! `fail`, `full`, `die`, `garble`, `torn`, `twice`, `mute`, `trickle`, and `slow`, which runs until it is stopped.
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -69,7 +69,18 @@
         }
         seen.lock().unwrap().push(format!("{} {statement}", line.trim_end()));
         let has = |word: &str| statement.contains(word);
-        if has("slow") {
+        // The first try of such a statement goes wrong, and the next is served.
+        let first = |word: &str| {
+            has(word) && seen.lock().unwrap().iter().filter(|line| line.contains(word)).count() == 1
+        };
+        if first("mute") {
+            write!(out, "{id} status n=share,val=0.1 0\r\n\r\n")?;
+        } else if first("trickle") {
+            write!(out, "{id} 200 sheets=1,toil=100,room=8 9000\r\n")?;
+            while out.write_all(b"x").is_ok() {
+                std::thread::sleep(std::time::Duration::from_millis(100));
+            }
+        } else if has("slow") {
             write!(out, "{id} status n=share,val=0.1 0\r\n\r\n")?;
         } else if has("fail") {
             write!(out, "{id} 500 - 0\r\n\r\n")?;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -339,3 +339,36 @@
         assert_eq!(sends(&take(&mut gateway, 21.0, request(2))).len(), many, "{outcome:?}");
     }
 }
+
+fn probe_ended(gateway: &mut Gateway, now: f64, outcome: Outcome) -> Vec<Action> {
+    let mut out = Vec::new();
+    let event = Event::Probed { engine: EngineId(1), outcome, elapsed_ms: 250.0, report: None };
+    gateway.handle(now, event, &mut out);
+    out
+}
+
+/// Guards against an engine that stands still with its connections up: it was sent all that came, for as long as
+/// its connections took to be given up.
+#[test]
+fn an_engine_that_leaves_probes_unanswered_gets_nothing_until_it_answers() {
+    let mut gateway = gateway(settings(ClassSettings::default()), &[engine(1)]);
+    probe_ended(&mut gateway, 300.0, Outcome::TimedOut);
+    assert_eq!(sends(&take(&mut gateway, 301.0, request(1))), vec![(1, 1)], "one may be lost");
+    probe_ended(&mut gateway, 600.0, Outcome::TimedOut);
+    assert!(sends(&take(&mut gateway, 601.0, request(2))).is_empty());
+    assert_eq!(sends(&probe_ended(&mut gateway, 900.0, Outcome::Served)), vec![(2, 1)]);
+}
+
+/// Guards against one broken connection that counts once for each request on it, and puts its engine down.
+#[test]
+fn one_broken_connection_is_one_failure() {
+    for (second, downs) in [(20.0, 0), (900.0, 1)] {
+        let mut gateway = gateway(settings(ClassSettings::default()), &[engine(1)]);
+        take(&mut gateway, 1.0, request(1));
+        take(&mut gateway, 1.0, request(2));
+        end(&mut gateway, 20.0, 1, 0, Outcome::ConnectionLost);
+        let out = end(&mut gateway, second, 2, 0, Outcome::ConnectionLost);
+        let down = |action: &&Action| matches!(action, Action::Log(text) if text.contains("down"));
+        assert_eq!(out.iter().filter(down).count(), downs, "{second}: {out:?}");
+    }
+}
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::engines::{self, Engine};
-use common::{Program, TOKEN, endpoint, ldap, names, read_reply, request, start, until};
+use common::{Program, TOKEN, endpoint, ldap, names, read_reply, request, settings, start, until};
 use rstest::rstest;
 use serde_json::json;
 use std::io::{Read, Write};
@@ -500,3 +500,34 @@
     assert_eq!(engines()[0]["name"], "f0");
     until("its connections are closed", || old.count("END OF CONNECTION") >= 1);
 }
+
+/// Guards against an answer that never comes, or that trickles for ever, while its engine goes on: the request
+/// runs again long before its deadline.
+#[rstest]
+#[case("mute")]
+#[case("trickle")]
+fn an_answer_that_does_not_come_is_given_up(#[case] how: &str) {
+    let (program, engine) = service(Wire::Lines);
+    let reply = read_reply(&mut program.send(how, "report", 15_000, None, &format!("SELECT {how}"))).unwrap();
+    assert_eq!((reply.status, engine.count(how)), (200, 2));
+}
+
+/// Guards against a connection that ends with all of an engine's requests on it: few are put on one.
+#[test]
+fn the_end_of_a_connection_takes_few_requests_with_it() {
+    let (engine, mut settings) = (engines::lines(), settings());
+    settings["familyInfo"]["tellsEveryMs"] = json!(10_000);
+    let program = start(&[engine.address], json!({"settings": settings}));
+    let open: Vec<TcpStream> = (0..8)
+        .map(|number| {
+            let stream = program.send(&format!("s{number}"), "lookup", 4000, None, "SELECT slow");
+            until("it runs", || engine.count("slow") == number + 1);
+            stream
+        })
+        .collect();
+    assert_eq!(read_reply(&mut program.send("z", "post", 2000, None, "POST die")).unwrap().status, 500);
+    for mut stream in open {
+        assert_eq!(read_reply(&mut stream).map(|reply| reply.status), Some(503));
+    }
+    assert_eq!(engine.count("slow"), 8, "those on other connections went on");
+}
