Let a connection whose request may be on its way give way last

Ruled out: CPU (0.48 of 1.0 core in the worst second), engines (no NoConnection).

At fault: front/mod.rs make_room() ended silent connections before idle ones whatever their age, so at full places each new connection ended the one before, whose request had not been read yet. Now a connection under 500 ms of age goes after older silent and idle ones, and the search for the one to spare no longer walks over all.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -4,11 +4,11 @@
 pub mod tds;
 
 use bytes::BytesMut;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::future::Future;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
@@ -16,6 +16,8 @@
 /// How long, and for how many bytes, a client that was refused may go on sending.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 const LINGER_BYTES: usize = 256 * 1024;
+/// A client whose connection is younger may have sent a request that is not read yet.
+const ON_ITS_WAY: Duration = Duration::from_millis(500);
 
 /// What the fronts and the rest of the program know of each other.
 #[derive(Debug, Clone, Default)]
@@ -68,8 +70,8 @@
     }
 }
 
-/// What a connection is doing. The first in this order are the first to give way where places run out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+/// What a connection is doing.
+#[derive(Debug, Clone, Copy)]
 enum Standing {
     /// It has its last answer.
     Ending,
@@ -84,15 +86,17 @@
 #[derive(Debug)]
 struct Taken {
     standing: Standing,
-    /// When it came to stand so, counted in changes: those of old give way first.
-    since: u64,
+    /// When it came to stand so.
+    since: Instant,
     task: Option<AbortHandle>,
 }
 
 #[derive(Debug, Default)]
 struct Places {
-    changes: u64,
+    numbers: u64,
     taken: HashMap<u64, Taken>,
+    /// Of each standing, since when and which: the oldest first.
+    order: [BTreeSet<(Instant, u64)>; 4],
 }
 
 /// A connection's place among those of its listener. It goes with the connection.
@@ -107,58 +111,73 @@
 }
 
 impl Places {
-    fn change(&mut self) -> u64 {
-        self.changes += 1;
-        self.changes
+    fn stands(&mut self, number: u64, standing: Standing) {
+        if let Some(taken) = self.taken.get_mut(&number) {
+            self.order[taken.standing as usize].remove(&(taken.since, number));
+            (taken.standing, taken.since) = (standing, Instant::now());
+            self.order[taken.standing as usize].insert((taken.since, number));
+        }
     }
 
-    /// Ends the connection that can best be spared, of those that are owed nothing.
-    fn make_room(&mut self) -> bool {
-        let spare = self.taken.iter().filter(|(_, one)| one.standing != Standing::Busy);
-        let Some(number) = spare.min_by_key(|(_, one)| (one.standing, one.since)).map(|(number, _)| *number)
-        else {
-            return false;
+    fn remove(&mut self, number: u64) -> Option<AbortHandle> {
+        let taken = self.taken.remove(&number)?;
+        self.order[taken.standing as usize].remove(&(taken.since, number));
+        taken.task
+    }
+
+    fn add(&mut self, standing: Standing, since: Instant) -> u64 {
+        self.numbers += 1;
+        self.taken.insert(self.numbers, Taken { standing, since, task: None });
+        self.order[standing as usize].insert((since, self.numbers));
+        self.numbers
+    }
+
+    /// The connection that can best be spared, of those that are owed nothing. One whose request may be on its
+    /// way goes last.
+    fn spare(&self, now: Instant) -> Option<u64> {
+        let oldest = |standing: Standing, least: Duration| {
+            let first = self.order[standing as usize].first();
+            first.filter(|(since, _)| now - *since >= least).map(|(_, number)| *number)
         };
-        let task = self.taken.remove(&number).and_then(|one| one.task);
+        oldest(Standing::Ending, Duration::ZERO)
+            .or(oldest(Standing::Silent, ON_ITS_WAY))
+            .or(oldest(Standing::Idle, ON_ITS_WAY))
+            .or(oldest(Standing::Silent, Duration::ZERO))
+            .or(oldest(Standing::Idle, Duration::ZERO))
+    }
+
+    /// Ends that connection; false where all are owed an answer.
+    fn make_room(&mut self) -> bool {
+        let task = self.spare(Instant::now()).and_then(|number| self.remove(number));
         task.inspect(AbortHandle::abort).is_some()
     }
 }
 
 impl Seat {
     fn take(places: &Arc<Mutex<Places>>) -> Seat {
-        let mut all = locked(places);
-        let number = all.change();
-        all.taken.insert(number, Taken { standing: Standing::Silent, since: number, task: None });
+        let number = locked(places).add(Standing::Silent, Instant::now());
         Seat { number, places: places.clone() }
     }
 
-    fn stands(&self, standing: Standing) {
-        let mut all = locked(&self.places);
-        let since = all.change();
-        if let Some(taken) = all.taken.get_mut(&self.number) {
-            (taken.standing, taken.since) = (standing, since);
-        }
-    }
-
     /// A whole request has come: the connection stays until it is answered.
     pub fn busy(&self) {
-        self.stands(Standing::Busy);
+        locked(&self.places).stands(self.number, Standing::Busy);
     }
 
     /// Its request is answered, and another may come.
     pub fn idle(&self) {
-        self.stands(Standing::Idle);
+        locked(&self.places).stands(self.number, Standing::Idle);
     }
 
     /// It has its last answer.
     pub fn ending(&self) {
-        self.stands(Standing::Ending);
+        locked(&self.places).stands(self.number, Standing::Ending);
     }
 }
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        locked(&self.places).taken.remove(&self.number);
+        locked(&self.places).remove(self.number);
     }
 }
 
@@ -219,3 +238,27 @@
     tokio::time::sleep_until(until).await;
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a crowd in which a new connection gave way before its request came, while others that
+    /// had long been answered stayed.
+    #[test]
+    fn a_connection_whose_request_is_on_its_way_gives_way_last() {
+        let (start, ms) = (Instant::now(), Duration::from_millis);
+        let mut places = Places::default();
+        let _busy = places.add(Standing::Busy, start);
+        let held = places.add(Standing::Idle, start + ms(400));
+        let silent = places.add(Standing::Silent, start + ms(450));
+        let young = places.add(Standing::Silent, start + ms(900));
+        let answered = places.add(Standing::Idle, start + ms(950));
+        let refused = places.add(Standing::Ending, start + ms(999));
+        for expected in [refused, silent, held, young, answered] {
+            assert_eq!(places.spare(start + ms(1000)), Some(expected));
+            places.remove(expected);
+        }
+        assert_eq!(places.spare(start + ms(1000)), None, "who is owed an answer stays");
+    }
+}
