Bound collected results, each and in all, and the time of a TDS login and message

Now a result is 1 MB at most, and all that is collected before it is whole 64 KB for each request that clients can have open; above that the request is given up there and its neighbours live on. Pages are kept as bytes, not as rows, until they are whole. A TDS login is due within 2.8 s and the rest of a begun message within 2.5 s; the directory has 2 s, so that its answer still reaches the client.

Each test fails without the change.

--- a/src/back/lines/connection.rs
+++ b/src/back/lines/connection.rs
@@ -6,7 +6,7 @@
 use crate::core::{AttemptNews, Call, ConnectionEnd, Row, Table};
 use crate::interface::{LoadReport, Usage};
 use crate::service::Ended;
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -18,14 +18,40 @@
 use tokio::sync::mpsc;
 
 /// What may wait to be written; an engine that takes no more is as good as silent.
-const MOST_UNWRITTEN: usize = 8 << 20;
+const MOST_UNWRITTEN: usize = 1 << 20;
+/// The longest result collected, in bytes.
+const MOST_RESULT: usize = 1 << 20;
+
+/// Bytes of a result that is not whole yet. They count until it is passed on or given up.
+#[derive(Debug)]
+struct Collected {
+    bytes: usize,
+    all: Arc<AtomicUsize>,
+}
+
+impl Collected {
+    /// Counts some more; false where they are too many, for one result or for all together.
+    fn add(&mut self, more: usize, most: usize) -> bool {
+        self.bytes += more;
+        let all = self.all.fetch_add(more, Ordering::Relaxed) + more;
+        self.bytes <= MOST_RESULT && all <= most
+    }
+}
+
+impl Drop for Collected {
+    fn drop(&mut self) {
+        self.all.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
 
 /// A request that the engine holds.
 struct Carried {
     attempt: AttemptId,
     /// When the engine last spoke of it: it does so all the time until the answer.
     heard: Micros,
-    pages: Vec<Option<Vec<Row>>>,
+    pages: Vec<Option<Bytes>>,
+    /// Its bytes so far, as they count in all that is collected.
+    bytes: Collected,
     usage: Option<Usage>,
     report: Option<LoadReport>,
 }
@@ -241,8 +267,9 @@
         self.line(format_args!(
             "REQ {name} sort={class},patience={patience}{key},urgency={priority} {length}\r\n{statement}\r\n"
         ));
-        self.carried
-            .insert(name, Carried { attempt, pages: Vec::new(), usage: None, report: None, heard: now });
+        let bytes = Collected { bytes: 0, all: self.uplink.collected.clone() };
+        let (pages, usage, report) = (Vec::new(), None, None);
+        self.carried.insert(name, Carried { attempt, heard: now, bytes, pages, usage, report });
     }
 
     fn line(&mut self, text: std::fmt::Arguments<'_>) {
@@ -323,13 +350,6 @@
     /// client before all are here, so that an engine that dies between pages costs an attempt, not the answer.
     async fn page(&mut self, line: Line) -> Result<(), Over> {
         let Some(carried) = self.carried.get_mut(&line.id) else { return Ok(()) };
-        let rows = match parse::rows(&line.body) {
-            Ok(rows) => rows,
-            Err(error) => {
-                log::warn!("an engine's page can't be used, its connection ends: {error}");
-                return Err(Over::Connection(ConnectionEnd::Garbled));
-            }
-        };
         let first = line.word == Word::Ok && carried.pages.is_empty();
         if first {
             carried.pages = vec![None; line.fields.sheets.unwrap_or(1).max(1) as usize];
@@ -349,7 +369,12 @@
             log::debug!("an engine sent a page twice");
             return Ok(());
         }
-        *place = Some(rows);
+        // A copy of its own: a piece of what was received would keep the whole of it.
+        *place = Some(Bytes::copy_from_slice(&line.body));
+        if !carried.bytes.add(line.body.len(), self.uplink.limits.collected) {
+            log::warn!("a result is too long: request {} is given up there", line.id);
+            return self.give_up(&line.id, ConnectionEnd::Unheard).await;
+        }
         let pages = carried.pages.len();
         if first {
             for page in 1..pages {
@@ -361,10 +386,28 @@
             if pages > 1 {
                 self.line(format_args!("END {}\r\n", line.id));
             }
-            let rows = carried.pages.into_iter().flatten().flatten().collect();
+            let attempt = carried.attempt;
+            let pages = carried.pages.iter().flatten().map(|page| parse::rows(page));
+            let rows: Vec<Row> = match pages.collect::<Result<Vec<_>, _>>() {
+                Ok(pages) => pages.into_iter().flatten().collect(),
+                Err(error) => {
+                    log::warn!("an engine's page can't be used, its connection ends: {error}");
+                    self.uplink.ended(attempt, ConnectionEnd::Garbled).await?;
+                    return Err(Over::Connection(ConnectionEnd::Garbled));
+                }
+            };
             let table = Table { columns: Vec::new(), rows };
             let news = AttemptNews::Served { table, usage: carried.usage, report: carried.report };
-            self.uplink.news(carried.attempt, news).await?;
+            self.uplink.news(attempt, news).await?;
+        }
+        Ok(())
+    }
+
+    /// Stops a request here whose answer is of no more use; the others go on.
+    async fn give_up(&mut self, name: &str, end: ConnectionEnd) -> Result<(), Over> {
+        self.line(format_args!("STOP {name}\r\n"));
+        if let Some(carried) = self.drop_carried(name) {
+            self.uplink.ended(carried.attempt, end).await?;
         }
         Ok(())
     }
@@ -385,10 +428,7 @@
         let unheard: Vec<String> = unheard.map(|(name, _)| name.clone()).collect();
         for name in unheard {
             log::warn!("an engine says no more of request {name}: given up there");
-            self.line(format_args!("STOP {name}\r\n"));
-            if let Some(carried) = self.drop_carried(&name) {
-                self.uplink.ended(carried.attempt, ConnectionEnd::Unheard).await?;
-            }
+            self.give_up(&name, ConnectionEnd::Unheard).await?;
         }
         let limits = &self.uplink.limits;
         if !self.is_busy() && now >= self.used + limits.idle_after {
--- a/src/back/mod.rs
+++ b/src/back/mod.rs
@@ -9,6 +9,8 @@
 use crate::service::{Ended, Handle};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -55,6 +57,8 @@
     pub line_within: Micros,
     /// Idle connections are closed after this long.
     pub idle_after: Micros,
+    /// Bytes of results that may be collected at once, before they are whole.
+    pub collected: usize,
     /// Attempts that one connection carries at once.
     pub streams: usize,
     /// Connections to one engine.
@@ -72,6 +76,8 @@
     pub clock: Clock,
     /// Figures.
     pub limits: Limits,
+    /// Bytes of results that all engines' connections now collect.
+    pub collected: Arc<AtomicUsize>,
 }
 
 impl Uplink {
@@ -112,13 +118,14 @@
     handle: Handle,
     clock: Clock,
     limits: Limits,
+    collected: Arc<AtomicUsize>,
     links: HashMap<u64, mpsc::Sender<Order>>,
 }
 
 impl Backs {
     /// No engines yet.
     pub fn new(wire: Wire, handle: Handle, clock: Clock, limits: Limits) -> Backs {
-        Backs { wire, handle, clock, limits, links: HashMap::new() }
+        Backs { wire, handle, clock, limits, collected: Arc::default(), links: HashMap::new() }
     }
 
     /// Carries out what the core wants of an engine; what can't be handed on comes back as its end.
@@ -175,7 +182,7 @@
         }
         let (link, orders) = mpsc::channel(QUEUE);
         let (handle, limits) = (self.handle.clone(), self.limits.clone());
-        let uplink = Uplink { engine, handle, clock: self.clock, limits };
+        let uplink = Uplink { engine, handle, clock: self.clock, limits, collected: self.collected.clone() };
         match &self.wire {
             Wire::Lines => tokio::spawn(lines::run(uplink, address, orders)),
             Wire::Tds(login) => tokio::spawn(tds::run(uplink, address, orders, login.clone())),
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 /// A directory that has not answered by then does not.
-const WITHIN: Duration = Duration::from_secs(5);
+const WITHIN: Duration = Duration::from_secs(2);
 
 /// Where users are looked up.
 #[derive(Debug, Clone, Deserialize)]
--- a/src/front/tds/mod.rs
+++ b/src/front/tds/mod.rs
@@ -33,7 +33,9 @@
 /// Ended by an operator.
 pub const CANCELLED: u32 = 50012;
 
-const LOGIN_TIME: Duration = Duration::from_secs(15);
+/// A client is logged in, or let go, by then; a message that it has begun is there whole in the same time.
+const LOGIN_TIME: Duration = Duration::from_millis(2800);
+const MESSAGE_TIME: Duration = Duration::from_millis(2500);
 const IDLE_TIME: Duration = Duration::from_secs(1800);
 
 /// What every connection of this front knows.
@@ -147,7 +149,13 @@
     async fn run(mut self, seat: &Seat, tenant: String) -> Io<()> {
         loop {
             seat.idle();
-            let next = tokio::time::timeout(IDLE_TIME, self.next()).await;
+            if self.received.is_empty() {
+                let begun = tokio::time::timeout(IDLE_TIME, self.stream.read_buf(&mut self.received)).await;
+                if begun.map_err(|_| std::io::ErrorKind::TimedOut)?? == 0 {
+                    return Ok(());
+                }
+            }
+            let next = tokio::time::timeout(MESSAGE_TIME, self.next()).await;
             let Some(message) = next.map_err(|_| std::io::ErrorKind::TimedOut)?? else { return Ok(()) };
             seat.busy();
             if !self.request(message, &tenant).await? {
--- a/src/main.rs
+++ b/src/main.rs
@@ -35,6 +35,8 @@
 const RESERVED: usize = 160;
 /// Clients hold at most this part of the descriptors, each for one open request.
 const CLIENTS_PART: usize = 3;
+/// Room for the result of each open request, some above the longest of the platform's engines.
+const RESULT_BYTES: usize = 64 * 1024;
 /// Connections to one engine.
 const MOST_CONNECTIONS: usize = 4;
 /// Connections to one engine where each carries one request.
@@ -106,6 +108,7 @@
         line_within: LINE_WITHIN,
         // A little before the engine does, so that no request crosses its close.
         idle_after: Micros::from_ms(config.keepalive_ms * 0.8),
+        collected: config.sockets / CLIENTS_PART * RESULT_BYTES,
         streams: config.streams,
         connections: match config.wire {
             Wire::Lines => MOST_CONNECTIONS,
--- a/tests/common/engines.rs
+++ b/tests/common/engines.rs
@@ -1,5 +1,5 @@
 //! Stand-in engines on lines and on TDS. What a statement holds decides what they do with it: `ok`, `big`,
-//! `fail`, `full`, `die`, `garble`, `torn`, `twice`, `mute`, `trickle`, and `slow`, which runs until it is stopped.
+//! `fail`, `full`, `die`, `garble`, `torn`, `huge`, `twice`, `mute`, `trickle`, and `slow`, which runs until it is stopped.
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -41,6 +41,7 @@
     let mut out = stream.try_clone()?;
     let mut input = BufReader::new(stream);
     let mut big: HashMap<String, bool> = HashMap::new();
+    let mut huge = false;
     loop {
         let mut line = String::new();
         if input.read_line(&mut line)? == 0 {
@@ -58,6 +59,10 @@
             if big[id] {
                 return Ok(()); // dies between pages
             }
+            if huge {
+                write!(out, "{id} chunk sheet={} 60000\r\n{}\n\r\n", words[2], "x".repeat(59_999))?;
+                continue;
+            }
             write!(out, "{id} chunk sheet={} 4\r\ne\tf\n\r\n", words[2])?;
             continue;
         }
@@ -95,6 +100,10 @@
             let first = format!("{id} 200 sheets=2,toil=100,room=8 8\r\na\tb\nc\td\n\r\n");
             big.insert(id.to_owned(), false);
             write!(out, "00000000000000ee 200 sheets=1 4\r\nx\ty\n\r\n{first}{first}")?;
+        } else if has("huge") {
+            huge = true;
+            big.insert(id.to_owned(), false);
+            write!(out, "{id} 200 sheets=64,toil=100,room=8 4\r\na\tb\n\r\n")?;
         } else if has("torn") {
             write!(out, "{id} 200 sheets=1,toil=100,room=8 6\r\na\tb\nc\t\r\n")?;
         } else if has("big") {
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -472,14 +472,18 @@
     assert_eq!((engine.count("twice"), engine.count("slow")), (1, 1));
 }
 
-/// Guards against a page that was cut off within a row: it is never passed on as a whole one.
-#[test]
-fn a_page_that_ends_within_a_row_is_spoilt_and_its_engine_is_not_to_blame() {
+/// Guards against a page that was cut off within a row, which must never be passed on as a whole one, and a
+/// result without bounds. The engine is not to blame, and serves the next.
+#[rstest]
+#[case("torn")]
+#[case("huge")]
+fn a_result_that_cannot_be_used_is_not_passed_on(#[case] how: &str) {
     let (program, engine) = service(Wire::Lines);
-    let reply = read_reply(&mut program.send("x", "lookup", 4000, None, "SELECT torn")).unwrap();
-    assert_eq!((reply.status, engine.count("torn")), (503, 3));
+    let reply = read_reply(&mut program.send(how, "lookup", 4000, None, &format!("SELECT {how}"))).unwrap();
+    assert_eq!((reply.status, engine.count(how)), (503, 3));
     let metrics = program.admin("GET", "/metrics", TOKEN).body;
     assert!(metrics.contains(r#"sanddyke_attempts_total{outcome="Spoilt"} 3"#), "{metrics}");
+    assert_eq!(read_reply(&mut program.send("ok", "lookup", 4000, None, "SELECT ok")).unwrap().status, 200);
 }
 
 /// Guards against engines that come and go all day: one that is gone is forgotten with its connections, but
@@ -531,3 +535,18 @@
     }
     assert_eq!(engine.count("slow"), 8, "those on other connections went on");
 }
+
+/// Guards against a TDS client that says nothing, or half of a login: it is let go within 3 s.
+#[rstest]
+#[case(0)]
+#[case(11)]
+fn half_a_login_is_let_go(#[case] sent: usize) {
+    use sanddyke::tds::{login, packet};
+    let (program, _engine) = service(Wire::Lines);
+    let (mut stream, began) = (TcpStream::connect(program.tds).unwrap(), Instant::now());
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let first = packet::message(packet::PRELOGIN, &login::prelogin(login::ENCRYPT_NOT_SUPPORTED));
+    stream.write_all(&first[..sent]).unwrap();
+    assert_eq!(stream.read(&mut [0; 1]).unwrap(), 0);
+    assert!((2..9).contains(&began.elapsed().as_secs()));
+}
