Let a refused client go on sending for 1 s, so that a busy machine resets no refusal away

Seen: the test of the refusal wrote for 0.2 s against a bound of 0.5 s (front/mod.rs LINGER_TIME), which a loaded machine could pass. A connection that lingers is the first to give way, so the longer bound keeps nobody out.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -14,7 +14,7 @@
 use tokio::task::AbortHandle;
 
 /// How long, and for how many bytes, a client that was refused may go on sending.
-const LINGER_TIME: Duration = Duration::from_millis(500);
+const LINGER_TIME: Duration = Duration::from_secs(1);
 const LINGER_BYTES: usize = 256 * 1024;
 /// A client whose connection is younger may have sent a request that is not read yet.
 const ON_ITS_WAY: Duration = Duration::from_millis(500);
