--- a/crates/access/src/lib.rs
+++ b/crates/access/src/lib.rs
@@ -36,7 +36,7 @@
 pub enum Role {
     /// All.
     Operator,
-    /// See its tenants, suspend and resume them, set their labels, and cancel their requests.
+    /// See its tenants, set their labels, and cancel their requests. Whether they are served is not its to say.
     TenantAdmin,
     /// See all and change nothing.
     Viewer,
@@ -49,7 +49,7 @@
     See,
     /// See one tenant, its requests and its part of the audit trail.
     SeeTenant(TenantId),
-    /// Set a tenant's labels, suspend or resume it, or cancel a request of it.
+    /// Set a tenant's labels, or cancel a request of it.
     RunTenant(TenantId),
     /// Change tenants, groups and requests of any kind.
     Change,
@@ -117,12 +117,15 @@
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-fn hash(secret: &str) -> String {
-    hex(&Sha256::digest(secret.as_bytes()))
+/// The SHA-256 of a text, in hexadecimal.
+pub fn digest(text: &str) -> String {
+    hex(&Sha256::digest(text.as_bytes()))
 }
 
-fn same(a: &str, b: &str) -> bool {
-    a.as_bytes().ct_eq(b.as_bytes()).into()
+/// Compares two secrets in a time that tells nothing of where they differ.
+pub fn same(a: &str, b: &str) -> bool {
+    // By their digests, so that the time does not tell a length either.
+    digest(a).as_bytes().ct_eq(digest(b).as_bytes()).into()
 }
 
 impl Grant {
@@ -157,7 +160,7 @@
     pub fn issue(grant: Grant, now_ms: u64, random: [u8; 32]) -> (Token, String) {
         let id = hex(&Sha256::digest(random)[..ID_BYTES]);
         let secret = format!("sdk_{id}_{}", hex(&random));
-        let token = Token { id, grant, created_ms: now_ms, hash: hash(&secret), previous: None };
+        let token = Token { id, grant, created_ms: now_ms, hash: digest(&secret), previous: None };
         (token, secret)
     }
 
@@ -166,7 +169,7 @@
         let secret = format!("sdk_{}_{}", token.id, hex(&random));
         let until_ms = now_ms.saturating_add(overlap_ms.min(LONGEST_OVERLAP_MS));
         let previous = Some(Previous { hash: token.hash.clone(), until_ms }).filter(|_| overlap_ms > 0);
-        (Token { hash: hash(&secret), previous, ..token.clone() }, secret)
+        (Token { hash: digest(&secret), previous, ..token.clone() }, secret)
     }
 
     /// Takes a token over.
@@ -197,7 +200,7 @@
     pub fn check(&self, secret: &str, now_ms: u64) -> Option<&Token> {
         let id = secret.strip_prefix("sdk_")?.split('_').next()?;
         let token = self.0.get(id)?;
-        let told = hash(secret);
+        let told = digest(secret);
         let current = same(&told, &token.hash);
         let before = token.previous.as_ref();
         let before = before.is_some_and(|before| now_ms < before.until_ms && same(&told, &before.hash));
--- a/crates/tenancy/src/roster.rs
+++ b/crates/tenancy/src/roster.rs
@@ -158,6 +158,11 @@
         self.names.get(name).copied()
     }
 
+    /// The slot of a tenant that is not removed.
+    pub fn slot_of(&self, id: TenantId) -> Option<Slot> {
+        self.ids.get(&id).copied()
+    }
+
     /// The tenant of a slot.
     pub fn tenant(&self, slot: Slot) -> Option<&Tenant> {
         Some(&self.slots.get(slot)?.as_ref()?.tenant)
--- /dev/null
+++ b/src/admin/metrics.rs
@@ -0,0 +1,90 @@
+//! The state in Prometheus' text format. Labels are bounded: past so many tenants the rest are one.
+
+use crate::core::{Report, Tally};
+use std::collections::{BTreeMap, HashSet};
+use std::fmt::Write;
+
+/// Tenants with series of their own; those with the most answers come first.
+const MOST_TENANTS: usize = 1000;
+/// The label of the rest.
+const OTHERS: &str = "_others";
+
+fn label(text: &str) -> String {
+    text.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
+
+fn answers(tally: &Tally) -> u64 {
+    tally.served + tally.refused + tally.failed + tally.cancelled + tally.left
+}
+
+/// The tenants that have series of their own.
+fn named(report: &Report) -> HashSet<&str> {
+    let mut counts: BTreeMap<&str, u64> = BTreeMap::new();
+    report.tallies.iter().for_each(|tally| *counts.entry(&tally.tenant).or_default() += answers(tally));
+    let mut counts: Vec<(&str, u64)> = counts.into_iter().collect();
+    counts.sort_by(|a, b| b.1.cmp(&a.1).then(a.0.cmp(b.0)));
+    counts.into_iter().take(MOST_TENANTS).map(|(name, _)| name).collect()
+}
+
+/// All metrics.
+pub fn text(report: &Report) -> String {
+    let named = named(report);
+    let known = |tenant: &str| if named.contains(tenant) { label(tenant) } else { OTHERS.to_owned() };
+    let mut ends: BTreeMap<(String, String, &str), u64> = BTreeMap::new();
+    let mut seconds: BTreeMap<(String, String), f64> = BTreeMap::new();
+    for tally in &report.tallies {
+        let (class, tenant) = (label(&tally.class), known(&tally.tenant));
+        *seconds.entry((class.clone(), tenant.clone())).or_default() += tally.served_us as f64 / 1e6;
+        let counts = [
+            ("served", tally.served),
+            ("refused", tally.refused),
+            ("failed", tally.failed),
+            ("cancelled", tally.cancelled),
+            ("left", tally.left),
+        ];
+        for (end, count) in counts {
+            *ends.entry((class.clone(), tenant.clone(), end)).or_default() += count;
+        }
+    }
+    let mut refused: BTreeMap<(String, &str), u64> = BTreeMap::new();
+    for tenant in &report.tenants {
+        for (reason, count) in &tenant.refused {
+            *refused.entry((known(&tenant.name), reason)).or_default() += count;
+        }
+    }
+    let mut text = String::new();
+    // Writing to a string cannot fail.
+    let _ = writeln!(text, "# TYPE sanddyke_requests_total counter");
+    for ((class, tenant, end), count) in ends {
+        let labels = format!("class=\"{class}\",tenant=\"{tenant}\",end=\"{end}\"");
+        let _ = writeln!(text, "sanddyke_requests_total{{{labels}}} {count}");
+    }
+    let _ = writeln!(text, "# TYPE sanddyke_served_seconds_total counter");
+    for ((class, tenant), seconds) in seconds {
+        let labels = format!("class=\"{class}\",tenant=\"{tenant}\"");
+        let _ = writeln!(text, "sanddyke_served_seconds_total{{{labels}}} {seconds}");
+    }
+    let _ = writeln!(text, "# TYPE sanddyke_tenant_refusals_total counter");
+    for ((tenant, reason), count) in refused {
+        let labels = format!("tenant=\"{tenant}\",reason=\"{reason}\"");
+        let _ = writeln!(text, "sanddyke_tenant_refusals_total{{{labels}}} {count}");
+    }
+    let unknown = report.unknown_tenants;
+    let _ =
+        writeln!(text, "sanddyke_tenant_refusals_total{{tenant=\"\",reason=\"tenant_unknown\"}} {unknown}");
+    let gauges =
+        [("sanddyke_tenants", report.tenants.len()), ("sanddyke_requests_open", report.requests.len())];
+    for (name, value) in gauges {
+        let _ = writeln!(text, "# TYPE {name} gauge\n{name} {value}");
+    }
+    let _ = writeln!(text, "# TYPE sanddyke_attempts_total counter");
+    for (end, count) in &report.attempts {
+        let _ = writeln!(text, "sanddyke_attempts_total{{outcome=\"{end}\"}} {count}");
+    }
+    let _ = writeln!(text, "# TYPE sanddyke_attempts_out gauge");
+    for engine in &report.engines {
+        let labels = format!("engine=\"{}\",state=\"{}\"", label(&engine.name), engine.state);
+        let _ = writeln!(text, "sanddyke_attempts_out{{{labels}}} {}", engine.attempts_out);
+    }
+    text
+}
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,53 +1,103 @@
-//! The administration API: JSON over HTTP on its own listener, with a bearer token. `docs/admin.md` lists it.
+//! The administration API: JSON over HTTP on a listener of its own, encrypted where a certificate is set up,
+//! with a bearer token. `docs/admin.md` lists it; `routes` has the calls of version 1 as a table.
 
-use crate::core::{Input, Report, Tally};
+mod metrics;
+mod problem;
+pub mod routes;
+mod v1;
+
+use self::problem::Problem;
+use crate::clock::Clock;
+use crate::core::{Report, Tally};
 use crate::front::http::message::{Request, Response};
 use crate::front::http::read_request;
 use crate::front::{self, Door, Seat};
-use crate::service::{Ended, Handle};
+use crate::service::Handle;
+use crate::tenants::Keeper;
 use bytes::BytesMut;
+use sanddyke_access::{Grant, Role, same};
+use sanddyke_tenancy::TokenBucket;
 use serde_json::json;
-use std::fmt::Write;
-use std::sync::Arc;
-use tokio::io::AsyncWriteExt;
+use std::collections::{BTreeSet, HashMap};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio_rustls::TlsAcceptor;
+use tokio_rustls::rustls::ServerConfig;
 
 /// Connections at once.
 const MOST: usize = 16;
+/// The longest body: a document of some thousand tenants.
+const LONGEST_BODY: usize = 1 << 20;
+/// A handshake and a write that take longer end the connection.
+const HANDSHAKE_TIME: Duration = Duration::from_secs(3);
+const WRITE_TIME: Duration = Duration::from_secs(10);
+/// Calls of one token a second, and at once.
+const CALLS: (f64, f64) = (100.0, 200.0);
+/// Calls that look at all of what is open: each costs the service some time.
+const DEAR_CALLS: (f64, f64) = (5.0, 20.0);
+/// Calls without a valid token, all together: guessing must not become fast.
+const STRANGERS: (f64, f64) = (10.0, 50.0);
+/// The name of the operator whose token is in the file.
+const ROOT: &str = "root";
 
 /// What every connection of the API knows.
 #[derive(Debug)]
 pub struct Admin {
-    /// The way to the core.
-    pub handle: Handle,
-    /// What the fronts share.
-    pub door: Door,
-    /// The token that every call but the health check carries.
-    pub token: String,
-    /// Tenants, with their shares.
-    pub tenants: Vec<(String, f64)>,
+    handle: Handle,
+    door: Door,
+    keeper: Arc<Keeper>,
+    clock: Clock,
+    token: String,
+    watchers: Arc<Semaphore>,
+    rates: Mutex<HashMap<String, (TokenBucket, TokenBucket)>>,
+}
+
+/// Who calls.
+#[derive(Debug, Clone)]
+struct Caller {
+    id: String,
+    grant: Grant,
 }
 
+/// What encrypts the listener; it may change while connections come.
+pub type Tls = watch::Receiver<Option<Arc<ServerConfig>>>;
+
 /// Accepts connections until it is dropped.
-pub async fn serve(listener: TcpListener, admin: Arc<Admin>) {
-    let each = |stream, seat| {
-        let admin = admin.clone();
-        async move { connection(stream, &seat, &admin).await }
+pub async fn serve(listener: TcpListener, admin: Arc<Admin>, tls: Tls) {
+    let each = |stream: TcpStream, seat| {
+        let (admin, tls) = (admin.clone(), tls.borrow().clone());
+        async move {
+            stream.set_nodelay(true)?;
+            match tls {
+                None => connection(stream, &seat, &admin).await,
+                Some(config) => {
+                    let shaken = TlsAcceptor::from(config).accept(stream);
+                    let shaken = tokio::time::timeout(HANDSHAKE_TIME, shaken).await;
+                    connection(shaken.map_err(|_| std::io::ErrorKind::TimedOut)??, &seat, &admin).await
+                }
+            }
+        }
     };
     front::accept(listener, MOST, "admin", each).await;
 }
 
-async fn connection(mut stream: TcpStream, seat: &Seat, admin: &Admin) -> std::io::Result<()> {
+async fn connection<S>(mut stream: S, seat: &Seat, admin: &Admin) -> std::io::Result<()>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
     let mut buffer = BytesMut::with_capacity(4096);
     let mut first = true;
-    while let Some(read) = read_request(&mut stream, &mut buffer, first).await? {
+    while let Some(read) = read_request(&mut stream, &mut buffer, first, LONGEST_BODY).await? {
         first = false;
         seat.busy();
         let (response, close) = match read {
             Ok(request) => (admin.call(&request).await, request.close),
-            Err(error) => (problem(error.status(), &error.to_string()), true),
+            Err(error) => (Problem::new(error.status(), "unreadable", error.to_string()).response(), true),
         };
-        stream.write_all(&response.bytes(close)).await?;
+        tokio::time::timeout(WRITE_TIME, stream.write_all(&response.bytes(close))).await??;
         if close {
             seat.ending();
             return front::linger(&mut stream, &mut buffer).await;
@@ -57,118 +107,112 @@
     Ok(())
 }
 
-fn problem(status: u16, why: &str) -> Response {
-    Response::json(status, json!({ "error": why }).to_string())
-}
-
-/// Compares without telling by its time how much was right.
-fn same(a: &[u8], b: &[u8]) -> bool {
-    a.len() == b.len() && a.iter().zip(b).fold(0, |all, (a, b)| all | (a ^ b)) == 0
-}
-
 impl Admin {
+    /// An API over a keeper; `token` is the root operator's.
+    pub fn new(handle: Handle, door: Door, keeper: Arc<Keeper>, clock: Clock, token: String) -> Arc<Admin> {
+        let rates = Mutex::default();
+        Arc::new(Admin { handle, door, keeper, clock, token, watchers: v1::watchers(), rates })
+    }
+
     async fn call(&self, request: &Request) -> Response {
+        self.answer(request).await.unwrap_or_else(|problem| problem.response())
+    }
+
+    async fn answer(&self, request: &Request) -> Result<Response, Problem> {
         let (method, target) = (request.method.as_str(), request.target.as_str());
-        if (method, target) == ("GET", "/health") {
-            let status = if self.door.is_ready() { 200 } else { 503 };
-            return Response::json(status, json!({ "ready": self.door.is_ready() }).to_string());
+        match (method, target) {
+            ("GET", "/health") => {
+                let status = if self.door.is_ready() { 200 } else { 503 };
+                return Ok(Response::json(status, json!({ "ready": self.door.is_ready() }).to_string()));
+            }
+            ("GET", "/v1/openapi.json") => return Ok(Response::json(200, routes::openapi().to_string())),
+            _ => {}
         }
-        let token = request.field("Authorization").and_then(|told| told.strip_prefix("Bearer "));
-        if !token.is_some_and(|token| same(token.as_bytes(), self.token.as_bytes())) {
-            return problem(401, "a bearer token is needed").with("WWW-Authenticate", "Bearer".to_owned());
+        let caller = self.caller(request).await?;
+        let path = target.split_once('?').map_or(target, |(path, _)| path);
+        let old = match (method, path) {
+            ("GET", "/tenants" | "/metrics") => Some(path),
+            _ => None,
+        };
+        self.pace(&caller.id, old.is_some() || path.starts_with("/v1/requests") || path == "/v1/engines")?;
+        if let Some(path) = old {
+            return self.old(&caller, path).await;
         }
-        let answer = match (method, target.strip_prefix("/requests/")) {
-            ("DELETE", Some(name)) => self.cancel(name).await,
-            _ => self.show(method, target).await,
+        // The first calls of the API, under the names that they had.
+        let path = match path {
+            "/engines" => "/v1/engines",
+            "/requests" => "/v1/requests",
+            other => other,
         };
-        answer.unwrap_or_else(|Ended| problem(503, "the service has ended"))
+        let renamed = path.strip_prefix("/requests/").map(|name| format!("/v1/requests/{name}"));
+        let path = renamed.as_deref().unwrap_or(path);
+        match routes::find(method, path) {
+            Ok((route, name)) => self.v1(&caller, request, route, name).await,
+            Err(routes::NoRoute::Path) => Err(Problem::new(404, "no_path", "no such path")),
+            Err(routes::NoRoute::Method(allowed)) => {
+                Ok(Problem::new(405, "no_method", "no such method").response().with("Allow", allowed))
+            }
+        }
     }
 
-    async fn cancel(&self, name: &str) -> Result<Response, Ended> {
-        let report = self.handle.inspect().await?;
-        let Some(request) = report.requests.iter().find(|request| request.name == name) else {
-            return Ok(problem(404, "no such request is open"));
-        };
-        self.handle.tell(Input::Cancelled(request.id)).await?;
-        log::info!("admin: request {name} cancelled");
-        Ok(Response::json(200, json!({ "cancelled": name }).to_string()))
+    /// Who calls, by the bearer token.
+    async fn caller(&self, request: &Request) -> Result<Caller, Problem> {
+        let secret = request.field("Authorization").and_then(|told| told.strip_prefix("Bearer "));
+        if let Some(secret) = secret {
+            if same(secret, &self.token) {
+                let (tenants, note) = (BTreeSet::new(), String::new());
+                let grant = Grant { role: Role::Operator, tenants, note, expires_ms: None };
+                return Ok(Caller { id: ROOT.to_owned(), grant });
+            }
+            if let Some(token) = self.keeper.check(secret).await {
+                return Ok(Caller { id: token.id, grant: token.grant });
+            }
+        }
+        self.take("", STRANGERS, false)?;
+        Err(Problem::new(401, "unauthorized", "a valid bearer token is needed"))
     }
 
-    async fn show(&self, method: &str, target: &str) -> Result<Response, Ended> {
-        let report = self.handle.inspect().await?;
-        let body = match target {
-            "/tenants" => json!({ "tenants": self.tenants(&report) }),
-            "/engines" => json!({ "engines": report.engines }),
-            "/requests" => json!({ "requests": report.requests }),
-            "/metrics" if method == "GET" => return Ok(Response::text(200, metrics(&report))),
-            _ => return Ok(problem(404, "no such path")),
-        };
-        Ok(if method == "GET" {
-            Response::json(200, body.to_string())
-        } else {
-            problem(405, "no such method")
-        })
+    fn pace(&self, caller: &str, dear: bool) -> Result<(), Problem> {
+        self.take(caller, CALLS, false)?;
+        if dear { self.take(caller, DEAR_CALLS, true) } else { Ok(()) }
     }
 
-    fn tenants(&self, report: &Report) -> Vec<serde_json::Value> {
-        let of = |name: &str| -> Vec<&Tally> {
-            report.tallies.iter().filter(|tally| tally.tenant == name).collect()
-        };
-        let open = |name: &str| {
-            report.requests.iter().filter(|request| request.tenant.as_deref() == Some(name)).count()
-        };
-        let tenants = self.tenants.iter();
-        tenants
-            .map(|(name, share)| json!({ "name": name, "share": share, "open": open(name), "classes": of(name) }))
-            .collect()
+    fn take(&self, who: &str, (rate, burst): (f64, f64), dear: bool) -> Result<(), Problem> {
+        let mut rates = self.rates.lock().unwrap_or_else(PoisonError::into_inner);
+        if rates.len() > 2 * sanddyke_access::MOST_TOKENS {
+            rates.clear(); // tokens come and go: those that are still used begin with a full bucket
+        }
+        let full = || (TokenBucket::full(), TokenBucket::full());
+        let buckets = rates.entry(who.to_owned()).or_insert_with(full);
+        let bucket = if dear { &mut buckets.1 } else { &mut buckets.0 };
+        bucket.take(self.clock.now().0, rate, burst).map_err(|us| Problem {
+            retry_after_ms: Some((us / 1000.0) as i64),
+            ..Problem::new(429, "calls", "too many calls")
+        })
     }
-}
-
-fn label(text: &str) -> String {
-    text.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
-}
 
-/// The state in Prometheus' text format.
-fn metrics(report: &Report) -> String {
-    let mut text = String::new();
-    // Writing to a string cannot fail.
-    let _ = writeln!(text, "# TYPE sanddyke_requests_total counter");
-    for tally in &report.tallies {
-        let ends = [
-            ("served", tally.served),
-            ("refused", tally.refused),
-            ("failed", tally.failed),
-            ("cancelled", tally.cancelled),
-            ("left", tally.left),
-        ];
-        for (end, count) in ends {
-            let (class, tenant) = (label(&tally.class), label(&tally.tenant));
-            let labels = format!("class=\"{class}\",tenant=\"{tenant}\",end=\"{end}\"");
-            let _ = writeln!(text, "sanddyke_requests_total{{{labels}}} {count}");
+    /// The calls that version 1 has in another form.
+    async fn old(&self, caller: &Caller, path: &str) -> Result<Response, Problem> {
+        if !caller.grant.allows(sanddyke_access::Act::See) {
+            return Err(Problem::new(403, "forbidden", "this token's role does not allow that"));
         }
+        let report = self.handle.inspect().await?;
+        Ok(match path {
+            "/metrics" => Response::text(200, metrics::text(&report)),
+            _ => Response::json(200, json!({ "tenants": tenants(&report) }).to_string()),
+        })
     }
-    let _ = writeln!(text, "# TYPE sanddyke_served_seconds_total counter");
-    for tally in &report.tallies {
-        let (class, tenant) = (label(&tally.class), label(&tally.tenant));
-        let seconds = tally.served_us as f64 / 1e6;
-        let _ = writeln!(
-            text,
-            "sanddyke_served_seconds_total{{class=\"{class}\",tenant=\"{tenant}\"}} {seconds}"
-        );
-    }
-    let _ = writeln!(
-        text,
-        "# TYPE sanddyke_requests_open gauge\nsanddyke_requests_open {}",
-        report.requests.len()
-    );
-    let _ = writeln!(text, "# TYPE sanddyke_attempts_total counter");
-    for (end, count) in &report.attempts {
-        let _ = writeln!(text, "sanddyke_attempts_total{{outcome=\"{end}\"}} {count}");
-    }
-    let _ = writeln!(text, "# TYPE sanddyke_attempts_out gauge");
-    for engine in &report.engines {
-        let labels = format!("engine=\"{}\",state=\"{}\"", label(&engine.name), engine.state);
-        let _ = writeln!(text, "sanddyke_attempts_out{{{labels}}} {}", engine.attempts_out);
-    }
-    text
+}
+
+fn tenants(report: &Report) -> Vec<serde_json::Value> {
+    let mut tallies: HashMap<&str, Vec<&Tally>> = HashMap::new();
+    report.tallies.iter().for_each(|tally| tallies.entry(&tally.tenant).or_default().push(tally));
+    let of = |name: &str| tallies.get(name).cloned().unwrap_or_default();
+    let tenants = report.tenants.iter();
+    tenants
+        .map(|tenant| {
+            let (name, share, open) = (&tenant.name, tenant.share, tenant.open);
+            json!({ "name": name, "share": share, "open": open, "classes": of(name) })
+        })
+        .collect()
 }
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -64,6 +64,12 @@
         Micros(i64::try_from(self.origin.elapsed().as_micros()).unwrap_or(i64::MAX))
     }
 
+    /// The Unix time now, in milliseconds.
+    pub fn unix_ms(&self) -> u64 {
+        let us = self.origin_unix_us.saturating_add(self.now().0);
+        us.unsigned_abs() / 1000
+    }
+
     /// The instant of a point in time, for the runtime's timers.
     pub fn instant(&self, at: Micros) -> Instant {
         self.origin + at.to_duration()
--- a/src/config.rs
+++ b/src/config.rs
@@ -10,8 +10,10 @@
 use crate::interface::EngineState;
 use crate::settings::{self, Front};
 use crate::tds::login::Login;
+use crate::tenants::Known;
+use sanddyke_tenancy::{Document, Entry, FORMAT, TenantSpec};
+use schemars::JsonSchema;
 use serde::Deserialize;
-use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -20,7 +22,8 @@
 use thiserror::Error;
 use tokio_rustls::rustls::pki_types::pem::PemObject;
 use tokio_rustls::rustls::pki_types::{CertificateDer, PrivateKeyDer};
-use tokio_rustls::rustls::{ServerConfig, version};
+use tokio_rustls::rustls::server::WebPkiClientVerifier;
+use tokio_rustls::rustls::{RootCertStore, ServerConfig, SupportedProtocolVersion, version};
 
 const DEFAULT_SOCKETS: usize = 1024;
 const DEFAULT_MAX_OPEN: usize = 20_000;
@@ -35,7 +38,7 @@
 #[derive(Debug, Error)]
 pub enum ConfigError {
     /// Neither form of configuration is there.
-    #[error("LB_CONFIG: neither it nor SANDDYKE_CONFIG is set")]
+    #[error("LB_CONFIG: neither it nor SANDDYKE_CONFIG is set, and no --config is given")]
     Unset,
     /// A file that can't be read.
     #[error("{key}: can't read {path}: {source}")]
@@ -109,6 +112,10 @@
     pub tds: Option<TdsFront>,
     /// The administration API, if there is one.
     pub admin: Option<AdminApi>,
+    /// Where tenants are kept, if they are managed while the program runs.
+    pub store: Option<StoreKeys>,
+    /// The tenants' names, as the fronts see them.
+    pub known: Known,
 }
 
 /// The TDS front.
@@ -131,41 +138,122 @@
 pub struct AdminApi {
     /// Where operators connect.
     pub listen: SocketAddr,
-    /// The token that they carry.
+    /// The token of the operator that is always there.
     pub token: String,
+    /// What encrypts the wire, where it is encrypted.
+    pub tls: Option<Arc<ServerConfig>>,
 }
 
-fn want<T: DeserializeOwned>(value: &Value, key: &str) -> Result<Option<T>, ConfigError> {
-    match value.get(key) {
-        None | Some(Value::Null) => Ok(None),
-        Some(found) => serde_json::from_value(found.clone()).map(Some).map_err(|error| bad(key, error)),
-    }
+/// Where the configuration comes from.
+#[derive(Debug, Clone)]
+pub enum Source {
+    /// The files that `LB_CONFIG` or `SANDDYKE_CONFIG` name.
+    Environment,
+    /// A file: JSON where its name ends so, else TOML.
+    File(PathBuf),
+}
+
+/// A configuration file: all of its keys. Those of other programs on the platform are passed over.
+#[derive(Debug, Deserialize, JsonSchema)]
+#[schemars(title = "sanddyke's configuration")]
+pub struct File {
+    /// The workload manager's name.
+    name: Option<String>,
+    /// Where HTTP clients connect.
+    listen: Option<SocketAddr>,
+    /// Seed of its random numbers, in hexadecimal; another at each start where it is absent.
+    seed: Option<String>,
+    /// Limits of the process.
+    #[serde(default)]
+    limits: LimitKeys,
+    /// Where the name service is; without one the list of the start is the list.
+    resolver: Option<SocketAddr>,
+    /// The name that it is asked for.
+    service: Option<String>,
+    /// The list of engines at the start.
+    #[serde(default)]
+    known: KnownKeys,
+    /// Results above this many bytes go out in pages.
+    page_bytes: Option<usize>,
+    /// What the module is told.
+    settings: settings::Env,
+    /// TDS clients.
+    tds: Option<TdsKeys>,
+    /// The directory in which TDS logins find their tenant.
+    ldap: Option<Ldap>,
+    /// The administration API.
+    admin: Option<AdminKeys>,
+    /// How engines are spoken to.
+    engines: Option<EngineKeys>,
+    /// Where tenants, tokens and the audit trail are kept: with it, tenants are managed while the program runs.
+    store: Option<StoreKeys>,
+}
+
+#[derive(Debug, Default, Deserialize, JsonSchema)]
+struct LimitKeys {
+    /// Descriptors that the process may hold, at least 64.
+    sockets: Option<usize>,
+}
+
+#[derive(Debug, Default, Deserialize, JsonSchema)]
+struct KnownKeys {
+    rev: Option<u32>,
+    #[serde(default)]
+    notices: Vec<Notice>,
+}
+
+/// Where tenants are kept.
+#[derive(Debug, Clone, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct StoreKeys {
+    /// The file; it is made where it is not there.
+    pub path: PathBuf,
+    /// The folder for backups.
+    pub backups: Option<PathBuf>,
+}
+
+/// The JSON schema of a configuration file.
+pub fn schema() -> Value {
+    serde_json::to_value(schemars::schema_for!(File)).unwrap_or_default()
 }
 
 fn read(key: &'static str, path: &Path) -> Result<String, ConfigError> {
     std::fs::read_to_string(path).map_err(|source| ConfigError::File { key, path: path.to_owned(), source })
 }
 
-fn number(settings: &Value, key: &str, default: f64, least: f64) -> Result<f64, ConfigError> {
-    let found = want::<f64>(&settings["allowed"], key).map_err(|error| bad("settings.allowed", error))?;
+fn number(key: &str, found: Option<f64>, default: f64, least: f64) -> Result<f64, ConfigError> {
     let value = found.unwrap_or(default);
-    if value < least {
+    // Not a number is no number either.
+    if !(least..).contains(&value) {
         return Err(bad(format!("settings.allowed.{key}"), format!("must be at least {least}, is {value}")));
     }
     Ok(value)
 }
 
-impl Config {
-    /// Reads it from the environment.
-    pub fn from_env(clock: &Clock) -> Result<Config, ConfigError> {
-        let path = |key: &str| std::env::var_os(key).map(PathBuf::from);
-        let mut value: Value = match (path("LB_CONFIG"), path("SANDDYKE_CONFIG")) {
-            (Some(path), _) => serde_json::from_str(&read("LB_CONFIG", &path)?)
-                .map_err(|error| ConfigError::Form("LB_CONFIG", error.to_string()))?,
-            (None, Some(path)) => toml::from_str(&read("SANDDYKE_CONFIG", &path)?)
-                .map_err(|error| ConfigError::Form("SANDDYKE_CONFIG", error.to_string()))?,
-            (None, None) => return Err(ConfigError::Unset),
+impl Source {
+    fn value(&self) -> Result<Value, ConfigError> {
+        let variable = |key: &str| std::env::var_os(key).map(PathBuf::from);
+        let (key, path, json) = match (self, variable("LB_CONFIG"), variable("SANDDYKE_CONFIG")) {
+            (Source::File(path), ..) => {
+                let json = path.extension().is_some_and(|extension| extension == "json");
+                ("--config", path.clone(), json)
+            }
+            (Source::Environment, Some(path), _) => ("LB_CONFIG", path, true),
+            (Source::Environment, None, Some(path)) => ("SANDDYKE_CONFIG", path, false),
+            (Source::Environment, None, None) => return Err(ConfigError::Unset),
         };
+        let text = read(key, &path)?;
+        match json {
+            true => serde_json::from_str(&text).map_err(|error| ConfigError::Form(key, error.to_string())),
+            false => toml::from_str(&text).map_err(|error| ConfigError::Form(key, error.to_string())),
+        }
+    }
+}
+
+impl Config {
+    /// Reads it.
+    pub fn from(source: &Source, clock: &Clock) -> Result<Config, ConfigError> {
+        let mut value = source.value()?;
         for (key, variable) in [("name", "LB_NAME"), ("listen", "LB_LISTEN")] {
             if let (Ok(told), Some(object)) = (std::env::var(variable), value.as_object_mut()) {
                 object.insert(key.to_owned(), Value::String(told));
@@ -176,48 +264,65 @@
 
     /// Reads it from a value.
     pub fn from_value(value: &Value, clock: &Clock) -> Result<Config, ConfigError> {
-        let settings = value.get("settings").ok_or_else(|| bad("settings", "missing"))?;
-        let front = settings::parse(&settings.to_string()).map_err(|why| bad("settings", why))?;
-        let seed = match want::<String>(value, "seed")? {
-            Some(told) => u64::from_str_radix(&told, 16).map_err(|error| bad("seed", error))?,
+        let file: Result<File, _> = serde_path_to_error::deserialize(value);
+        let file = file.map_err(|error| bad(error.path().to_string(), error.inner()))?;
+        let allowed = file.settings.allowed.clone();
+        let front = settings::build(file.settings).map_err(|why| bad("settings", why))?;
+        let seed = match &file.seed {
+            Some(told) => u64::from_str_radix(told, 16).map_err(|error| bad("seed", error))?,
             None => clock.seed(),
         };
-        let limits = value.get("limits").cloned().unwrap_or(Value::Null);
-        let sockets = want::<usize>(&limits, "sockets").map_err(|error| bad("limits", error))?;
-        let sockets = sockets.unwrap_or(DEFAULT_SOCKETS);
+        let sockets = file.limits.sockets.unwrap_or(DEFAULT_SOCKETS);
         if sockets < 64 {
             return Err(bad("limits.sockets", format!("must be at least 64, is {sockets}")));
         }
-        let page_bytes = want::<usize>(value, "page_bytes")?.unwrap_or(DEFAULT_PAGE_BYTES);
+        let page_bytes = file.page_bytes.unwrap_or(DEFAULT_PAGE_BYTES);
         if page_bytes == 0 {
             return Err(bad("page_bytes", "must be above 0"));
         }
-        let tds = tds_front(value, &front)?;
-        let admin = admin_api(value)?;
-        let wire = wire(value)?;
+        let known = Known::new(front.tenants.iter().cloned());
+        if file.store.is_some() {
+            // Until the store is read nobody is known.
+            known.replace([]);
+        }
+        let keepalive = number("keepaliveMs", allowed.keepalive_ms, DEFAULT_KEEPALIVE_MS, 100.0)?;
+        let (streams, open) = (allowed.streams_per_conn, allowed.max_open);
         Ok(Config {
             read: Read(value.clone()),
-            name: want(value, "name")?.unwrap_or_else(|| "sanddyke".to_owned()),
-            listen: want(value, "listen")?,
+            name: file.name.unwrap_or_else(|| "sanddyke".to_owned()),
+            listen: file.listen,
             seed,
             sockets,
-            resolver: want(value, "resolver")?,
-            service: want(value, "service")?.unwrap_or_else(|| DEFAULT_SERVICE.to_owned()),
-            listed: listed(value, clock)?,
-            front,
-            max_open: number(settings, "maxOpen", DEFAULT_MAX_OPEN as f64, 1.0)? as usize,
-            streams: number(settings, "streamsPerConn", DEFAULT_STREAMS as f64, 1.0)? as usize,
-            connect_ms: number(settings, "connectTimeoutMs", DEFAULT_CONNECT_MS, 1.0)?,
-            keepalive_ms: number(settings, "keepaliveMs", DEFAULT_KEEPALIVE_MS, 100.0)?,
+            resolver: file.resolver,
+            service: file.service.unwrap_or_else(|| DEFAULT_SERVICE.to_owned()),
+            listed: listed(file.known, clock),
+            max_open: number("maxOpen", open, DEFAULT_MAX_OPEN as f64, 1.0)? as usize,
+            streams: number("streamsPerConn", streams, DEFAULT_STREAMS as f64, 1.0)? as usize,
+            connect_ms: number("connectTimeoutMs", allowed.connect_timeout_ms, DEFAULT_CONNECT_MS, 1.0)?,
+            keepalive_ms: keepalive,
             page_bytes,
-            wire,
-            tds,
-            admin,
+            wire: wire(file.engines)?,
+            tds: tds_front(file.tds, file.ldap, &front, &known)?,
+            admin: admin_api(file.admin)?,
+            store: file.store,
+            known,
+            front,
         })
     }
+
+    /// The settings' tenants, as a store begins with them.
+    pub fn document(&self) -> Document {
+        let told = self.front.tenants.iter().zip(&self.front.settings.tenants);
+        let entry = |(name, told): (&String, &crate::interface::TenantSettings)| {
+            let spec =
+                TenantSpec { weight: told.share, quota_rps: told.quota_per_s, ..TenantSpec::default() };
+            (name.clone(), Entry { spec, ..Entry::default() })
+        };
+        Document { format: FORMAT, groups: Default::default(), tenants: told.map(entry).collect() }
+    }
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 struct TdsKeys {
     listen: SocketAddr,
@@ -227,21 +332,46 @@
     private_key: Option<PathBuf>,
 }
 
-/// TLS 1.2, as TDS 7 has it: its handshake ends with the server, and so is told from what follows.
-fn tls(keys: &TdsKeys) -> Result<Option<Arc<ServerConfig>>, ConfigError> {
-    let (certificate, key) = match (&keys.certificate, &keys.private_key) {
+/// A certificate with its key, and who signs clients' certificates where those are asked for.
+fn server_tls(
+    key: &str,
+    certificate: Option<&Path>,
+    private_key: Option<&Path>,
+    client_ca: Option<&Path>,
+    versions: &[&'static SupportedProtocolVersion],
+) -> Result<Option<Arc<ServerConfig>>, ConfigError> {
+    let named = |name: &str| format!("{key}.{name}");
+    let (certificate, private_key) = match (certificate, private_key) {
+        (None, None) if client_ca.is_some() => {
+            return Err(bad(named("certificate"), "missing, with a client_ca"));
+        }
         (None, None) => return Ok(None),
         (Some(certificate), Some(key)) => (certificate, key),
-        (None, Some(_)) => return Err(bad("tds.certificate", "missing, with a private key")),
-        (Some(_), None) => return Err(bad("tds.private_key", "missing, with a certificate")),
+        (None, Some(_)) => return Err(bad(named("certificate"), "missing, with a private key")),
+        (Some(_), None) => return Err(bad(named("private_key"), "missing, with a certificate")),
+    };
+    let certificates = |path: &Path, name: &str| {
+        let found = CertificateDer::pem_file_iter(path).and_then(Iterator::collect::<Result<Vec<_>, _>>);
+        found.map_err(|error| bad(named(name), error))
     };
-    let chain = CertificateDer::pem_file_iter(certificate).and_then(Iterator::collect::<Result<Vec<_>, _>>);
-    let chain = chain.map_err(|error| bad("tds.certificate", error))?;
-    let key = PrivateKeyDer::from_pem_file(key).map_err(|error| bad("tds.private_key", error))?;
+    let chain = certificates(certificate, "certificate")?;
+    let private =
+        PrivateKeyDer::from_pem_file(private_key).map_err(|error| bad(named("private_key"), error))?;
     let provider = Arc::new(tokio_rustls::rustls::crypto::ring::default_provider());
-    let server = ServerConfig::builder_with_provider(provider).with_protocol_versions(&[&version::TLS12]);
-    let server = server.map_err(|error| bad("tds.certificate", error))?.with_no_client_auth();
-    let server = server.with_single_cert(chain, key).map_err(|error| bad("tds.certificate", error))?;
+    let server = ServerConfig::builder_with_provider(provider.clone()).with_protocol_versions(versions);
+    let server = server.map_err(|error| bad(named("certificate"), error))?;
+    let server = match client_ca {
+        None => server.with_no_client_auth(),
+        Some(path) => {
+            let mut roots = RootCertStore::empty();
+            for root in certificates(path, "client_ca")? {
+                roots.add(root).map_err(|error| bad(named("client_ca"), error))?;
+            }
+            let verifier = WebPkiClientVerifier::builder_with_provider(Arc::new(roots), provider).build();
+            server.with_client_cert_verifier(verifier.map_err(|error| bad(named("client_ca"), error))?)
+        }
+    };
+    let server = server.with_single_cert(chain, private).map_err(|error| bad(named("certificate"), error))?;
     Ok(Some(Arc::new(server)))
 }
 
@@ -253,10 +383,16 @@
     }
 }
 
-fn tds_front(value: &Value, front: &Front) -> Result<Option<TdsFront>, ConfigError> {
-    let ldap = want::<Ldap>(value, "ldap")?;
-    let Some(keys) = want::<TdsKeys>(value, "tds")? else { return Ok(None) };
-    let tls = tls(&keys)?;
+fn tds_front(
+    keys: Option<TdsKeys>,
+    ldap: Option<Ldap>,
+    front: &Front,
+    tenants: &Known,
+) -> Result<Option<TdsFront>, ConfigError> {
+    let Some(keys) = keys else { return Ok(None) };
+    // TLS 1.2, as TDS 7 has it: its handshake ends with the server, and so is told from what follows.
+    let (certificate, private_key) = (keys.certificate.as_deref(), keys.private_key.as_deref());
+    let tls = server_tls("tds", certificate, private_key, None, &[&version::TLS12])?;
     let class = keys.default_class.or(front.classes.first().cloned());
     let class = class.ok_or_else(|| bad("settings.classes", "empty"))?;
     let known = front.classes.iter().position(|name| *name == class);
@@ -265,7 +401,7 @@
     if budget < 1.0 {
         return Err(bad("tds.default_ttl_ms", "must be at least 1"));
     }
-    let tenants = front.tenants.clone();
+    let tenants = tenants.clone();
     let directory = match ldap {
         Some(ldap) => {
             let local = ["ldap://127.", "ldap://localhost", "ldap://[::1]"];
@@ -280,23 +416,33 @@
     Ok(Some(TdsFront { listen, class, budget: Micros::from_ms(budget), directory, tls }))
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 struct AdminKeys {
     listen: SocketAddr,
+    /// Holds the root operator's token, of at least 16 characters.
     token_file: PathBuf,
+    /// With both, the API is encrypted, and may listen on any address.
+    certificate: Option<PathBuf>,
+    private_key: Option<PathBuf>,
+    /// Who signs callers' certificates: with it, only callers with one are let in.
+    client_ca: Option<PathBuf>,
 }
 
-fn admin_api(value: &Value) -> Result<Option<AdminApi>, ConfigError> {
-    let Some(keys) = want::<AdminKeys>(value, "admin")? else { return Ok(None) };
+fn admin_api(keys: Option<AdminKeys>) -> Result<Option<AdminApi>, ConfigError> {
+    let Some(keys) = keys else { return Ok(None) };
     let token = read("admin.token_file", &keys.token_file)?.trim().to_owned();
     if token.len() < 16 {
         return Err(bad("admin.token_file", "must hold a token of at least 16 characters"));
     }
-    Ok(Some(AdminApi { listen: loopback("admin.listen", keys.listen)?, token }))
+    let (certificate, private_key) = (keys.certificate.as_deref(), keys.private_key.as_deref());
+    let versions = [&version::TLS13, &version::TLS12];
+    let tls = server_tls("admin", certificate, private_key, keys.client_ca.as_deref(), &versions)?;
+    let listen = if tls.is_some() { keys.listen } else { loopback("admin.listen", keys.listen)? };
+    Ok(Some(AdminApi { listen, token, tls }))
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 struct EngineKeys {
     wire: String,
@@ -307,8 +453,8 @@
     database: String,
 }
 
-fn wire(value: &Value) -> Result<Wire, ConfigError> {
-    let Some(keys) = want::<EngineKeys>(value, "engines")? else { return Ok(Wire::Lines) };
+fn wire(keys: Option<EngineKeys>) -> Result<Wire, ConfigError> {
+    let Some(keys) = keys else { return Ok(Wire::Lines) };
     match keys.wire.as_str() {
         "lines" => Ok(Wire::Lines),
         "tds" => {
@@ -323,20 +469,20 @@
     }
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize, JsonSchema)]
 struct Notice {
     rev: u32,
     pool: Pool,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize, JsonSchema)]
 struct Pool {
     #[serde(default)]
     snapshot: bool,
     endpoints: Vec<Endpoint>,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize, JsonSchema)]
 struct Endpoint {
     name: String,
     address: SocketAddr,
@@ -353,7 +499,7 @@
     since_ms: f64,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Debug, Deserialize, Default, JsonSchema)]
 #[serde(rename_all = "lowercase")]
 enum Status {
     #[default]
@@ -367,11 +513,8 @@
 }
 
 /// The events of the start, each of which changes what the one before left.
-fn listed(value: &Value, clock: &Clock) -> Result<Listed, ConfigError> {
-    let known = value.get("known").cloned().unwrap_or(Value::Null);
-    let notices: Vec<Notice> =
-        want(&known, "notices").map_err(|error| bad("known", error))?.unwrap_or_default();
-    let last: Option<u32> = want(&known, "rev").map_err(|error| bad("known", error))?;
+fn listed(known: KnownKeys, clock: &Clock) -> Listed {
+    let (notices, last) = (known.notices, known.rev);
     let mut listed = Listed::default();
     for (index, notice) in notices.into_iter().enumerate() {
         let engine = |told: Endpoint| Engine {
@@ -391,7 +534,7 @@
         let engines = notice.pool.endpoints.into_iter().map(engine).collect();
         listed.start(last.unwrap_or(notice.rev), index == 0 || notice.pool.snapshot, engines);
     }
-    Ok(listed)
+    listed
 }
 
 #[cfg(test)]
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -351,21 +351,28 @@
         }
     }
 
+    /// What is under way of some tenants.
+    pub fn usage(&self, ids: &[TenantId]) -> HashMap<TenantId, TenantReport> {
+        let slots = ids.iter().filter_map(|id| self.roster.slot_of(*id));
+        slots.filter_map(|slot| self.tenant_report(slot)).map(|report| (report.id, report)).collect()
+    }
+
     fn tenants(&self) -> Vec<TenantReport> {
-        let report = |(slot, tenant): (Slot, &Tenant)| {
-            let (open, attempts) = self.roster.under_way(slot);
-            let refused = self.roster.refusals(slot).map(|(reason, count)| (reason.code(), count));
-            TenantReport {
-                id: tenant.id,
-                name: tenant.name.clone(),
-                state: tenant.state,
-                share: self.shares.get(slot).copied().unwrap_or(0.0),
-                open,
-                attempts,
-                refused: refused.collect(),
-            }
-        };
-        self.roster.tenants().map(report).collect()
+        self.roster.tenants().filter_map(|(slot, _)| self.tenant_report(slot)).collect()
+    }
+
+    fn tenant_report(&self, slot: Slot) -> Option<TenantReport> {
+        let tenant = self.roster.tenant(slot)?;
+        let (open, attempts) = self.roster.under_way(slot);
+        Some(TenantReport {
+            id: tenant.id,
+            name: tenant.name.clone(),
+            state: tenant.state,
+            share: self.shares.get(slot).copied().unwrap_or(0.0),
+            open,
+            attempts,
+            refused: self.roster.refusals(slot).map(|(reason, count)| (reason.code(), count)).collect(),
+        })
     }
 }
 
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -1,7 +1,9 @@
 //! Who belongs to which tenant: by the database that a login names, or by a tenant's LDAP directory.
 
 use crate::tds::login::Login;
+use crate::tenants::Known;
 use ldap3::{LdapConnAsync, LdapConnSettings, Scope, SearchEntry, dn_escape, ldap_escape};
+use schemars::JsonSchema;
 use serde::Deserialize;
 use std::time::Duration;
 use thiserror::Error;
@@ -10,7 +12,7 @@
 const WITHIN: Duration = Duration::from_secs(2);
 
 /// Where users are looked up.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Ldap {
     /// The directory, as `ldap://127.0.0.1:389`.
@@ -59,9 +61,9 @@
 #[derive(Debug, Clone)]
 pub enum Directory {
     /// The login's database is the tenant, and the password is not heeded.
-    Database(Vec<String>),
+    Database(Known),
     /// A directory knows the user, and the tenant.
-    Ldap(Ldap, Vec<String>),
+    Ldap(Ldap, Known),
 }
 
 impl Directory {
@@ -74,7 +76,7 @@
         if !login.database.is_empty() && login.database != tenant {
             return Err(Denied::Other(login.user.clone(), tenant, login.database.clone()));
         }
-        match tenants.is_empty() || tenants.contains(&tenant) {
+        match tenants.contains(&tenant) {
             true => Ok(tenant),
             false => Err(Denied::Tenant(tenant)),
         }
--- a/src/front/http/message.rs
+++ b/src/front/http/message.rs
@@ -103,8 +103,8 @@
     Ok((method.to_owned(), target.to_owned(), version == '0', fields))
 }
 
-/// Reads the head of the next request, where it is there whole.
-pub fn read_head(buffer: &mut BytesMut) -> Result<Option<Head>, Unreadable> {
+/// Reads the head of the next request, where it is there whole; one with a longer body is not read.
+pub fn read_head(buffer: &mut BytesMut, longest_body: usize) -> Result<Option<Head>, Unreadable> {
     // Empty lines before a request are passed over.
     while buffer.starts_with(b"\r\n") {
         buffer.advance(2);
@@ -134,7 +134,7 @@
         // Two lengths are two readings of where the next request begins.
         _ => return Err(Unreadable::Malformed),
     };
-    if body > LONGEST_BODY {
+    if body > longest_body {
         return Err(Unreadable::Body);
     }
     let word =
@@ -175,6 +175,11 @@
         Response { status, kind: "application/json", fields: Vec::new(), body }
     }
 
+    /// An answer with a body of some kind.
+    pub fn of(status: u16, kind: &'static str, body: String) -> Response {
+        Response { status, kind, fields: Vec::new(), body }
+    }
+
     /// An answer with a body of plain text.
     pub fn text(status: u16, body: String) -> Response {
         Response { status, kind: "text/plain; version=0.0.4", fields: Vec::new(), body }
@@ -232,11 +237,11 @@
         let sent = b"POST /do/report HTTP/1.1\r\nX-Txn: 9b\r\nContent-Length: 3\r\n\r\nabc";
         for cut in 0..sent.len() {
             let mut buffer = BytesMut::from(&sent[..cut]);
-            if let Some(head) = read_head(&mut buffer).unwrap() {
+            if let Some(head) = read_head(&mut buffer, LONGEST_BODY).unwrap() {
                 assert!(head.take(&mut buffer).is_none(), "cut at {cut}");
             }
             buffer.extend_from_slice(&sent[cut..]);
-            let request = read_head(&mut buffer).unwrap().unwrap().take(&mut buffer).unwrap();
+            let request = read_head(&mut buffer, LONGEST_BODY).unwrap().unwrap().take(&mut buffer).unwrap();
             assert_eq!((request.field("x-txn"), &request.body[..]), (Some("9b"), &b"abc"[..]));
         }
     }
@@ -252,7 +257,11 @@
             ("nonsense\r\n\r\n", 400),
         ];
         for (text, status) in bad {
-            assert_eq!(read_head(&mut BytesMut::from(text)).unwrap_err().status(), status, "{text}");
+            assert_eq!(
+                read_head(&mut BytesMut::from(text), LONGEST_BODY).unwrap_err().status(),
+                status,
+                "{text}"
+            );
         }
     }
 }
--- a/src/front/http/mod.rs
+++ b/src/front/http/mod.rs
@@ -13,7 +13,7 @@
 use sanddyke_tenancy::Reason;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -54,16 +54,17 @@
 
 /// Reads the next request; `None` where the client closed, or did not send one in time. The first is due by
 /// a time after the connection, those that follow by the same time after their first byte.
-pub async fn read_request(
-    stream: &mut TcpStream,
+pub async fn read_request<S: AsyncRead + AsyncWrite + Unpin>(
+    stream: &mut S,
     buffer: &mut BytesMut,
     first: bool,
+    longest_body: usize,
 ) -> std::io::Result<Option<Result<Request, Unreadable>>> {
     let mut told = false;
     let mut begun = first || !buffer.is_empty();
     let mut until = Instant::now() + if begun { READ_TIME } else { IDLE_TIME };
     loop {
-        match message::read_head(buffer) {
+        match message::read_head(buffer, longest_body) {
             Err(error) => return Ok(Some(Err(error))),
             Ok(Some(head)) => {
                 let expects = head.expects && !told;
@@ -93,7 +94,7 @@
     stream.set_nodelay(true)?;
     let mut buffer = BytesMut::with_capacity(4096);
     let mut first = true;
-    while let Some(read) = read_request(&mut stream, &mut buffer, first).await? {
+    while let Some(read) = read_request(&mut stream, &mut buffer, first, message::LONGEST_BODY).await? {
         first = false;
         seat.busy();
         let counted = front.door.count();
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
@@ -224,7 +224,10 @@
 
 /// Ends a connection whose client may still be sending: a close with input unread would reset away the
 /// refusal. Some of that is read and dropped; a client that sends for longer is cut off.
-pub async fn linger(stream: &mut TcpStream, buffer: &mut BytesMut) -> std::io::Result<()> {
+pub async fn linger<S>(stream: &mut S, buffer: &mut BytesMut) -> std::io::Result<()>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
     stream.shutdown().await?;
     let until = tokio::time::Instant::now() + LINGER_TIME;
     let mut dropped = 0;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod settings;
 pub mod statement;
 pub mod tds;
+pub mod tenants;
 
 pub use interface::*;
 pub use logic::Gateway;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,17 +1,24 @@
 //! The workload manager on real sockets.
 #![forbid(unsafe_code)]
 
+mod cli;
+
+use clap::Parser;
+use cli::{Arguments, Command};
 use sanddyke::admin::{self, Admin};
 use sanddyke::back::{Backs, Limits, Wire};
 use sanddyke::clock::{Clock, Micros};
-use sanddyke::config::{Config, Read};
+use sanddyke::config::{Config, Read, Source};
 use sanddyke::core::{Core, EngineNews, Input};
 use sanddyke::discovery::{self, Told};
 use sanddyke::front::Door;
 use sanddyke::front::http::{self, Http};
 use sanddyke::front::tds::{self, Tds};
 use sanddyke::service::{self, Handle};
+use sanddyke::tenants::{Failure, Keeper};
+use sanddyke_store::{Store, StoreError};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -20,6 +27,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
+use tokio_rustls::rustls::ServerConfig;
 
 /// After SIGTERM clients still come for so long, and are served like any other.
 const STILL_COMING: Duration = Duration::from_millis(800);
@@ -55,14 +63,27 @@
     System(#[from] std::io::Error),
     #[error("{0}")]
     Ended(#[from] service::Ended),
+    #[error("store.path: {0}")]
+    Store(#[from] StoreError),
+    #[error("the settings' tenants: {0}")]
+    Tenants(#[from] Failure),
+    #[error("{0}")]
+    Command(cli::Failed),
 }
 
 fn main() -> ExitCode {
+    let command = Arguments::parse();
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let result = runtime.map_err(Fatal::from).and_then(|runtime| runtime.block_on(run()));
+    let result = match command.command.unwrap_or(Command::Serve) {
+        Command::Serve => serve(command.config),
+        other => cli::run(other, command.config).map_err(Fatal::Command),
+    };
     match result {
         Ok(()) => ExitCode::SUCCESS,
+        Err(Fatal::Command(failed)) => {
+            eprintln!("sanddyke: {failed}");
+            failed.code()
+        }
         Err(fatal) => {
             log::error!("{fatal}");
             ExitCode::FAILURE
@@ -70,13 +91,25 @@
     }
 }
 
+fn serve(config: Option<PathBuf>) -> Result<(), Fatal> {
+    let source = config.map_or(Source::Environment, Source::File);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(run(source))
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, Fatal> {
     TcpListener::bind(address).await.map_err(|error| Fatal::Listen(address, error))
 }
 
 /// Reads the configuration again, whole. One that can't be used changes nothing.
-fn reload(read: &mut Read, clock: &Clock, names: &watch::Sender<Told>) {
-    let config = match Config::from_env(clock) {
+fn reload(
+    read: &mut Read,
+    source: &Source,
+    clock: &Clock,
+    names: &watch::Sender<Told>,
+    admin: &Certificates,
+) {
+    let config = match Config::from(source, clock) {
         Ok(config) => config,
         Err(error) => return log::error!("SIGHUP: the configuration stays as it was: {error}"),
     };
@@ -88,12 +121,21 @@
     }
     *read = config.read;
     names.send_replace(Told { resolver: config.resolver, service: config.service, listed: config.listed });
+    // The files may have changed where the keys have not. A listener that is not encrypted stays so.
+    if let Some(certificate) = config.admin.and_then(|admin| admin.tls).filter(|_| admin.borrow().is_some()) {
+        admin.send_replace(Some(certificate));
+        log::info!("SIGHUP: the administration API's certificate is read again");
+    }
     log::info!("SIGHUP: the configuration is read again");
 }
 
-async fn run() -> Result<(), Fatal> {
+/// What encrypts the administration API.
+type Certificates = watch::Sender<Option<Arc<ServerConfig>>>;
+
+async fn run(source: Source) -> Result<(), Fatal> {
     let clock = Clock::start();
-    let config = Config::from_env(&clock)?;
+    let config = Config::from(&source, &clock)?;
+    let document = config.document();
     let mut read = config.read.clone();
     let mut terminated = signal(SignalKind::terminate())?;
     let mut reloaded = signal(SignalKind::hangup())?;
@@ -116,14 +158,22 @@
         },
     };
     let backs = Backs::new(config.wire, handle.clone(), clock, limits);
-    let names = config.front.tenants.iter().cloned();
-    let shares = config.front.settings.tenants.iter().map(|tenant| tenant.share);
-    let tenants = names.zip(shares).collect();
+    let held = config.store.as_ref().map(|store| Store::open(&store.path)).transpose()?;
     let mut told = config.front;
     told.settings.limits.max_open = Some(config.sockets / CLIENTS_PART);
-    let core = Core::new(told, config.max_open, config.seed, clock.now());
+    if held.is_some() {
+        // They are the store's from its first start on.
+        (told.tenants, told.settings.tenants) = (Vec::new(), Vec::new());
+    }
+    let mut core = Core::new(told, config.max_open, config.seed, clock.now());
+    if held.is_some() {
+        core = core.host();
+    }
+    let backups = config.store.and_then(|store| store.backups);
     tokio::spawn(service::run(core, clock, queue, backs));
     handle.tell(Input::Engines(EngineNews::Start(config.listed.engines()))).await?;
+    let keeper = Keeper::start(held, &document, backups, handle.clone(), config.known, clock).await?;
+    let certificates: Certificates = watch::Sender::new(None);
     let told = Told { resolver: config.resolver, service: config.service, listed: config.listed };
     let (names, names_told) = watch::channel(told);
     tokio::spawn(discovery::run(names_told, handle.clone(), clock, config.seed));
@@ -151,15 +201,16 @@
     }
     if let Some(told) = config.admin {
         let listener = bind(told.listen).await?;
-        let api = Admin { handle: handle.clone(), door: door.clone(), token: told.token, tenants };
-        fronts.push(tokio::spawn(admin::serve(listener, Arc::new(api))));
+        certificates.send_replace(told.tls);
+        let api = Admin::new(handle.clone(), door.clone(), keeper, clock, told.token);
+        fronts.push(tokio::spawn(admin::serve(listener, api, certificates.subscribe())));
     }
     door.open();
     log::info!("{} is ready", config.name);
     loop {
         tokio::select! {
             _ = terminated.recv() => break,
-            _ = reloaded.recv() => reload(&mut read, &clock, &names),
+            _ = reloaded.recv() => reload(&mut read, &source, &clock, &names, &certificates),
         }
     }
     log::info!("SIGTERM: finishing what is open");
--- a/src/service.rs
+++ b/src/service.rs
@@ -3,7 +3,8 @@
 
 use crate::back::Backs;
 use crate::clock::{Clock, Micros};
-use crate::core::{Answer, Arrival, Command, Core, Input, Report};
+use crate::core::{Answer, Arrival, Command, Core, Input, Report, TenantReport};
+use sanddyke_tenancy::TenantId;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -26,6 +27,8 @@
     Ask(Arrival, oneshot::Sender<Answer>),
     /// An operator wants to see the state.
     Inspect(oneshot::Sender<Report>),
+    /// What is under way of these tenants.
+    Usage(Vec<TenantId>, oneshot::Sender<HashMap<TenantId, TenantReport>>),
     /// How many requests are owed an answer.
     Open(oneshot::Sender<usize>),
 }
@@ -83,6 +86,13 @@
         report.await.map_err(|_| Ended)
     }
 
+    /// What is under way of these tenants.
+    pub async fn usage(&self, ids: Vec<TenantId>) -> Result<HashMap<TenantId, TenantReport>, Ended> {
+        let (reply, usage) = oneshot::channel();
+        self.send(Message::Usage(ids, reply)).await?;
+        usage.await.map_err(|_| Ended)
+    }
+
     /// How many requests are owed an answer.
     pub async fn open(&self) -> Result<usize, Ended> {
         let (reply, open) = oneshot::channel();
@@ -119,6 +129,7 @@
                 }
                 // Who asked may have left: nothing is owed then.
                 Message::Inspect(reply) => drop(reply.send(core.report(now))),
+                Message::Usage(ids, reply) => drop(reply.send(core.usage(&ids))),
                 Message::Open(reply) => drop(reply.send(core.open())),
             }
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,12 +4,15 @@
     ClassSettings, DedupScope, Effect, EngineTraits, KindId, KindSettings, Limits, MemoryShort, RetryBudget,
     Rules, Settings, TenantSettings, ZoneId,
 };
+use schemars::JsonSchema;
 use serde::Deserialize;
 
-#[derive(Deserialize)]
+#[derive(Debug, Clone, Deserialize, JsonSchema)]
 #[serde(rename_all = "camelCase")]
-struct Env {
-    allowed: Allowed,
+/// What the module is told, named as the simulator names it.
+pub struct Env {
+    /// What the deployment allows.
+    pub(crate) allowed: Allowed,
     classes: Vec<Class>,
     #[serde(default)]
     customers: Vec<Customer>,
@@ -33,9 +36,13 @@
     zones: Vec<String>,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Clone, Deserialize, JsonSchema)]
 #[serde(rename_all = "camelCase")]
-struct Allowed {
+pub(crate) struct Allowed {
+    pub(crate) max_open: Option<f64>,
+    pub(crate) streams_per_conn: Option<f64>,
+    pub(crate) connect_timeout_ms: Option<f64>,
+    pub(crate) keepalive_ms: Option<f64>,
     attempts_cap: u32,
     #[serde(default)]
     cancel: bool,
@@ -46,7 +53,7 @@
     second_copies: bool,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Clone, Deserialize, JsonSchema)]
 #[serde(rename_all = "camelCase")]
 struct Class {
     name: String,
@@ -66,7 +73,7 @@
     worth: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Clone, Deserialize, JsonSchema)]
 #[serde(rename_all = "camelCase")]
 struct Customer {
     name: String,
@@ -74,7 +81,7 @@
     quota_rps: f64,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Debug, Clone, Deserialize, Default, JsonSchema)]
 #[serde(rename_all = "camelCase", default)]
 struct FamilyInfo {
     dop: Vec<f64>,
@@ -90,20 +97,20 @@
     yields_to_loads: Vec<bool>,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Debug, Clone, Deserialize, Default, JsonSchema)]
 #[serde(rename_all = "camelCase", default)]
 struct Prices {
     probe: f64,
     cross_zone: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Clone, Deserialize, JsonSchema)]
 struct Report {
     #[serde(default)]
     columns: Vec<String>,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Clone, Deserialize, JsonSchema)]
 #[serde(rename_all = "camelCase")]
 struct Safety {
     ask_within_ms: Option<f64>,
@@ -151,7 +158,11 @@
 
 /// Reads the settings, or says which one cannot be used.
 pub fn parse(text: &str) -> Result<Front, String> {
-    let env: Env = serde_json::from_str(text).map_err(|error| error.to_string())?;
+    build(serde_json::from_str(text).map_err(|error| error.to_string())?)
+}
+
+/// Takes the settings over, or says which one cannot be used.
+pub fn build(env: Env) -> Result<Front, String> {
     let positive = [
         ("replicasOfMe", env.replicas_of_me as f64),
         ("stepMs", env.step_ms),
--- /dev/null
+++ b/src/tenants/mod.rs
@@ -0,0 +1,392 @@
+//! The tenants of a hosted service while it runs. The [`Keeper`] makes each change in this order: judge it,
+//! have it on the disk, take it over, tell the core and the fronts, and only then acknowledge it. One change is
+//! made at a time, and none is left half when whoever asked for it goes away.
+
+mod known;
+
+pub use known::Known;
+
+use crate::clock::Clock;
+use crate::core::{Input, TenantNews};
+use crate::service::{Ended, Handle};
+use sanddyke_access::{Grant, Token, Tokens, Unfit};
+use sanddyke_store::{AuditEntry, Commit, Creation, Done, Loaded, Store, StoreError};
+use sanddyke_tenancy::{
+    Change, Document, Generation, Plan, Record, Refusal, Registry, Subject, TenantId, shares,
+};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::sync::{Mutex, watch};
+
+/// Changes that watchers can resume from without listing anew.
+const RECENT: usize = 4096;
+/// How long the key of a creation is heeded (ms): a day.
+const CREATION_KEPT_MS: u64 = 86_400_000;
+/// Who made the changes of the first import.
+pub const BY_SETTINGS: &str = "settings";
+
+/// Why a change is not made.
+#[derive(Debug, Error)]
+pub enum Failure {
+    /// The registry refuses it.
+    #[error("{0}")]
+    Refused(#[from] Refusal),
+    /// It can't be kept.
+    #[error("{0}")]
+    Store(#[from] StoreError),
+    /// There is nowhere to keep it.
+    #[error("no store is set up: tenants come from the settings, and change with them")]
+    NoStore,
+    /// The key was used for something else.
+    #[error("this Idempotency-Key was used for another request")]
+    KeyTaken,
+    /// A grant that makes no sense.
+    #[error("{0}")]
+    Grant(#[from] Unfit),
+    /// No such token.
+    #[error("no such token")]
+    NoToken,
+    /// No folder for backups.
+    #[error("no folder for backups is set up (store.backups)")]
+    NoBackups,
+    /// The program ends.
+    #[error("the service has ended")]
+    Ended,
+}
+
+impl From<Ended> for Failure {
+    fn from(Ended: Ended) -> Failure {
+        Failure::Ended
+    }
+}
+
+/// What to change, for whom, and on what condition.
+#[derive(Debug, Clone)]
+pub struct Wish {
+    /// Who wants it: a token's id.
+    pub who: String,
+    /// What.
+    pub changes: Vec<Change>,
+    /// Only where this subject is of this generation.
+    pub expected: Option<(Subject, Generation)>,
+    /// The key of a creation, and a digest of what was asked with it.
+    pub key: Option<(String, String)>,
+}
+
+/// What became of a wish.
+#[derive(Debug)]
+pub enum Made {
+    /// It was made now.
+    Now(Vec<Record>),
+    /// It had been made before under the same key: the name that was created.
+    Before(String),
+}
+
+/// A change as watchers see it.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    /// When (Unix time, ms).
+    pub at_ms: u64,
+    /// Who made it.
+    pub who: String,
+    /// What.
+    pub record: Record,
+}
+
+/// What the keeper holds; read it by [`Keeper::read`].
+#[derive(Debug, Default)]
+pub struct State {
+    /// The tenants and groups.
+    pub registry: Registry,
+    /// The tokens.
+    pub tokens: Tokens,
+    /// Effective shares.
+    pub shares: BTreeMap<TenantId, f64>,
+    creations: HashMap<String, Creation>,
+    creation_order: VecDeque<String>,
+    recent: VecDeque<Seen>,
+}
+
+/// Owns the tenants, and makes the changes.
+#[derive(Debug)]
+pub struct Keeper {
+    state: Mutex<State>,
+    store: Option<Arc<Store>>,
+    backups: Option<PathBuf>,
+    handle: Handle,
+    known: Known,
+    clock: Clock,
+    latest: watch::Sender<Generation>,
+}
+
+impl State {
+    fn group_id(&self, tenant: &sanddyke_tenancy::Tenant) -> Option<u64> {
+        let group = tenant.spec.group.as_ref().and_then(|name| self.registry.group(name));
+        group.map(|group| group.id)
+    }
+
+    fn set(&self, id: TenantId) -> Option<TenantNews> {
+        let tenant = self.registry.by_id(id)?;
+        let share = self.shares.get(&id).copied().unwrap_or(0.0);
+        let (tenant, group) = (Box::new(tenant.clone()), self.group_id(tenant));
+        Some(TenantNews::Set { tenant, share, group })
+    }
+
+    /// Takes over what was planned; gives the news for the core: removals first, so that a name which is added
+    /// again in the same change is the new tenant's.
+    fn take_over(&mut self, plan: Plan, who: &str, at_ms: u64) -> Vec<TenantNews> {
+        self.registry = plan.after;
+        self.shares = shares::effective(&self.registry);
+        let touched = plan.records.iter().filter_map(|record| record.tenant);
+        let mut ids: Vec<TenantId> = touched.chain(plan.moved.into_keys()).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        let gone = ids.iter().filter(|id| self.registry.by_id(**id).is_none());
+        let mut news: Vec<TenantNews> = gone.map(|id| TenantNews::Removed(*id)).collect();
+        news.extend(ids.iter().filter_map(|id| self.set(*id)));
+        let seen = |record| Seen { at_ms, who: who.to_owned(), record };
+        self.recent.extend(plan.records.into_iter().map(seen));
+        self.recent.drain(..self.recent.len().saturating_sub(RECENT));
+        news
+    }
+
+    /// What the audit trail tells of earlier runs, the newest first: watchers resume across a start.
+    fn remember(&mut self, entries: Vec<AuditEntry>) {
+        for entry in entries {
+            if let Done::Registry { record } = entry.what {
+                self.recent.push_front(Seen { at_ms: entry.at_ms, who: entry.who, record: *record });
+            }
+        }
+    }
+
+    fn keep_creation(&mut self, creation: Creation) {
+        self.creation_order.push_back(creation.key.clone());
+        self.creations.insert(creation.key.clone(), creation);
+        while self.creations.len() as u64 > sanddyke_store::CREATIONS_KEPT {
+            let Some(oldest) = self.creation_order.pop_front() else { break };
+            self.creations.remove(&oldest);
+        }
+    }
+
+    /// Changes after a generation, the oldest first; `None` where those are no longer at hand.
+    pub fn since(&self, after: Generation) -> Option<impl Iterator<Item = &Seen>> {
+        let first =
+            self.recent.front().map_or(self.registry.generation().0 + 1, |seen| seen.record.generation.0);
+        let known = after.0 + 1 >= first && after <= self.registry.generation();
+        known.then(|| self.recent.iter().filter(move |seen| seen.record.generation > after))
+    }
+}
+
+impl Keeper {
+    /// A keeper of what a store held, or of the settings' tenants where there is no store: those can't be
+    /// changed. A store that is new begins with the settings' tenants.
+    pub async fn start(
+        held: Option<(Store, Loaded)>,
+        settings: &Document,
+        backups: Option<PathBuf>,
+        handle: Handle,
+        known: Known,
+        clock: Clock,
+    ) -> Result<Arc<Keeper>, Failure> {
+        let hosted = held.is_some();
+        let mut state = State::default();
+        let (mut first, mut store) = (true, None);
+        if let Some((opened, loaded)) = held {
+            state.remember(
+                opened.audit(u64::MAX, RECENT, |entry| matches!(entry.what, Done::Registry { .. }))?,
+            );
+            first = loaded.is_new || loaded.registry.generation() == Generation(0);
+            (state.registry, state.tokens) = (loaded.registry, loaded.tokens);
+            loaded.creations.into_iter().for_each(|creation| state.keep_creation(creation));
+            store = Some(Arc::new(opened));
+        }
+        if first && !settings.tenants.is_empty() {
+            let plan = state.registry.plan(&settings.changes(&state.registry, false))?;
+            if let Some(store) = &store {
+                let now = clock.unix_ms();
+                store.commit(&Commit::of(BY_SETTINGS, now, &plan.after, plan.records.clone()))?;
+                log::info!("the store begins with the settings' {} tenants", plan.after.len());
+            }
+            state.take_over(plan, BY_SETTINGS, clock.unix_ms());
+        }
+        state.shares = shares::effective(&state.registry);
+        let latest = watch::Sender::new(state.registry.generation());
+        if hosted {
+            known.replace(state.registry.tenants().map(|tenant| tenant.name.clone()));
+            let news = state.registry.tenants().filter_map(|tenant| state.set(tenant.id)).collect();
+            handle.tell(Input::Tenants(news)).await?;
+        }
+        let state = Mutex::new(state);
+        Ok(Arc::new(Keeper { state, store, backups, handle, known, clock, latest }))
+    }
+
+    /// Reads what is there now.
+    pub async fn read<T>(&self, read: impl FnOnce(&State) -> T) -> T {
+        read(&*self.state.lock().await)
+    }
+
+    /// The token of a bearer secret, where it is valid now.
+    pub async fn check(&self, secret: &str) -> Option<Token> {
+        self.state.lock().await.tokens.check(secret, self.clock.unix_ms()).cloned()
+    }
+
+    /// What a wish would do.
+    pub async fn plan(&self, wish: &Wish) -> Result<Plan, Failure> {
+        let state = self.state.lock().await;
+        if let Some((subject, expected)) = &wish.expected {
+            state.registry.expect(subject, Some(*expected))?;
+        }
+        Ok(state.registry.plan(&wish.changes)?)
+    }
+
+    /// Makes a change. It goes on to its end when the caller does not wait for it any more: what is on the disk
+    /// is always what the core is told.
+    pub async fn change(self: &Arc<Self>, wish: Wish) -> Result<Made, Failure> {
+        let keeper = self.clone();
+        let made = tokio::spawn(async move { keeper.make(wish).await }).await;
+        made.unwrap_or(Err(Failure::Ended))
+    }
+
+    async fn make(&self, wish: Wish) -> Result<Made, Failure> {
+        let store = self.store.clone().ok_or(Failure::NoStore)?;
+        let mut state = self.state.lock().await;
+        let now = self.clock.unix_ms();
+        let key = wish.key.map(|(key, asked)| (format!("{} {key}", wish.who), asked));
+        if let Some((key, asked)) = &key
+            && let Some(before) = state.creations.get(key).filter(|before| now < before.until_ms)
+        {
+            return match before.asked == *asked {
+                true => Ok(Made::Before(before.name.clone())),
+                false => Err(Failure::KeyTaken),
+            };
+        }
+        if let Some((subject, expected)) = &wish.expected {
+            state.registry.expect(subject, Some(*expected))?;
+        }
+        let plan = state.registry.plan(&wish.changes)?;
+        let mut commit = Commit::of(&wish.who, now, &plan.after, plan.records.clone());
+        let creation = key.zip(wish.changes.first()).map(|((key, asked), change)| {
+            let name = change.subject().name().to_owned();
+            Creation { key, asked, name, until_ms: now + CREATION_KEPT_MS }
+        });
+        if let Some(creation) = &creation {
+            commit = commit.with_creation(creation.clone());
+        }
+        durable(store, move |store| store.commit(&commit)).await?;
+        creation.into_iter().for_each(|creation| state.keep_creation(creation));
+        for record in &plan.records {
+            let subject = record.change.subject();
+            log::info!(who = wish.who.as_str(), generation = record.generation.0; "admin: {subject:?} changed");
+            self.known.note(&record.change);
+        }
+        let records = plan.records.clone();
+        let news = state.take_over(plan, &wish.who, now);
+        self.handle.tell(Input::Tenants(news)).await?;
+        self.latest.send_replace(state.registry.generation());
+        Ok(Made::Now(records))
+    }
+
+    /// Waits until there is a change after a generation, or the time is up.
+    pub async fn wait_after(&self, after: Generation, most: Duration) {
+        let mut latest = self.latest.subscribe();
+        // At the end of the time there is nothing new, which is an answer as well.
+        let _late = tokio::time::timeout(most, latest.wait_for(|latest| *latest > after)).await;
+    }
+
+    /// Makes a token; gives it with its secret, which nobody is told again.
+    pub async fn issue(self: &Arc<Self>, who: &str, grant: Grant) -> Result<(Token, String), Failure> {
+        let now = self.clock.unix_ms();
+        grant.check(now)?;
+        let (token, secret) = Tokens::issue(grant, now, random());
+        self.put(who, &token.id.clone(), Some(token.clone()), "created").await?;
+        Ok((token, secret))
+    }
+
+    /// Gives a token another secret; the old one is taken for so long still.
+    pub async fn rotate(
+        self: &Arc<Self>,
+        who: &str,
+        id: &str,
+        overlap_ms: u64,
+    ) -> Result<(Token, String), Failure> {
+        let old = self.read(|state| state.tokens.get(id).cloned()).await.ok_or(Failure::NoToken)?;
+        let (token, secret) = Tokens::rotate(&old, self.clock.unix_ms(), overlap_ms, random());
+        self.put(who, id, Some(token.clone()), "rotated").await?;
+        Ok((token, secret))
+    }
+
+    /// Takes a token back.
+    pub async fn revoke(self: &Arc<Self>, who: &str, id: &str) -> Result<(), Failure> {
+        self.read(|state| state.tokens.get(id).map(drop)).await.ok_or(Failure::NoToken)?;
+        self.put(who, id, None, "removed").await
+    }
+
+    async fn put(
+        self: &Arc<Self>,
+        who: &str,
+        id: &str,
+        token: Option<Token>,
+        how: &'static str,
+    ) -> Result<(), Failure> {
+        let (keeper, who, id) = (self.clone(), who.to_owned(), id.to_owned());
+        let made = tokio::spawn(async move {
+            let store = keeper.store.clone().ok_or(Failure::NoStore)?;
+            let mut state = keeper.state.lock().await;
+            let mut tokens = state.tokens.clone();
+            match &token {
+                Some(token) => tokens.put(token.clone())?,
+                None => drop(tokens.remove(&id)),
+            }
+            let now = keeper.clock.unix_ms();
+            let commit = Commit::token(&who, now, &state.registry, &id, token, how);
+            durable(store, move |store| store.commit(&commit)).await?;
+            log::info!(who = who.as_str(), token = id.as_str(); "admin: a token was {how}");
+            state.tokens = tokens;
+            Ok(())
+        });
+        made.await.unwrap_or(Err(Failure::Ended))
+    }
+
+    /// Entries of the audit trail before a number, the newest first.
+    pub async fn audit(
+        &self,
+        before: u64,
+        most: usize,
+        fits: impl Fn(&AuditEntry) -> bool + Send + 'static,
+    ) -> Result<Vec<AuditEntry>, Failure> {
+        let store = self.store.clone().ok_or(Failure::NoStore)?;
+        Ok(durable(store, move |store| store.audit(before, most, fits)).await?)
+    }
+
+    /// Writes a backup into the folder for them; gives its path.
+    pub async fn backup(&self) -> Result<PathBuf, Failure> {
+        let store = self.store.clone().ok_or(Failure::NoStore)?;
+        let folder = self.backups.clone().ok_or(Failure::NoBackups)?;
+        let generation = self.read(|state| state.registry.generation().0).await;
+        let path = folder.join(format!("sanddyke-{}-{generation}.redb", self.clock.unix_ms()));
+        let to = path.clone();
+        durable(store, move |store| store.backup(&to)).await?;
+        log::info!("admin: a backup is written to {}", path.display());
+        Ok(path)
+    }
+}
+
+/// Runs what waits for the disk on a thread of its own: the service goes on meanwhile.
+async fn durable<T: Send + 'static>(
+    store: Arc<Store>,
+    run: impl FnOnce(&Store) -> Result<T, StoreError> + Send + 'static,
+) -> Result<T, StoreError> {
+    let ran = tokio::task::spawn_blocking(move || run(&store)).await;
+    ran.unwrap_or_else(|error| Err(StoreError::Write(error.to_string())))
+}
+
+/// Random bytes for a secret.
+fn random() -> [u8; 32] {
+    let mut bytes = [0; 32];
+    // Without a source of random numbers there is no secret worth giving out.
+    getrandom::fill(&mut bytes).expect("the system has random numbers");
+    bytes
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -72,6 +72,13 @@
 
 pub const TOKEN: &str = "0123456789abcdef-token";
 
+/// A configuration with the administration API on an address of its own, and no engines.
+pub fn settings_file(folder: &std::path::Path) -> Value {
+    std::fs::write(folder.join("token"), TOKEN).unwrap();
+    let admin = SocketAddr::new(own_address(), 8081);
+    json!({"settings": settings(), "admin": {"listen": admin.to_string(), "token_file": folder.join("token")}})
+}
+
 /// Starts the program on the engines, with more keys for its configuration.
 pub fn start(engines: &[SocketAddr], more: Value) -> Program {
     let own = own_address();
@@ -186,6 +193,12 @@
         assert!(kill.success());
     }
 
+    /// Ends it at once, whatever it is doing.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     pub fn terminate(&mut self) {
         self.signal("-TERM");
     }
