Add a rig for experiments, a client library and sanddykectl

Change: crates/rig starts the program on emulated engines (cores, memory, paging on the lines wire), sends open-loop Poisson and burst traffic from one seed, calls the API at set times, and keeps CSV tables and SVG charts. crates/client deals with pages, entity tags and problems and repeats only what is safe; sanddykectl has tenants, groups, tokens, shares, watch, audit, plan, export, import, backup, completions and profiles, with documented exit codes.

--- /dev/null
+++ b/crates/client/examples/tenants.rs
@@ -0,0 +1,22 @@
+//! Lists the tenants with their shares, then tells of changes as they come.
+//!
+//! `SANDDYKE_TOKEN=… cargo run -p sanddyke-client --example tenants -- http://127.0.0.1:8081`
+
+use sanddyke_client::{Client, Error, Options};
+use std::time::Duration;
+
+fn main() -> Result<(), Error> {
+    let url = std::env::args().nth(1).unwrap_or_else(|| "http://127.0.0.1:8081".to_owned());
+    let token = std::env::var("SANDDYKE_TOKEN").unwrap_or_default();
+    let client = Client::new(Options { url, token, ..Options::default() })?;
+    for tenant in client.tenants("") {
+        let tenant = tenant?;
+        println!("{:<24} {:>6.2} %", tenant["name"], tenant["share"].as_f64().unwrap_or(0.0) * 100.0);
+    }
+    let mut after = None;
+    loop {
+        let (changes, next) = client.watch(after, Duration::from_secs(20))?;
+        changes.iter().for_each(|change| println!("{change}"));
+        after = Some(next);
+    }
+}
--- /dev/null
+++ b/crates/rig/src/experiment.rs
@@ -0,0 +1,224 @@
+//! Experiments as TOML files: engines, classes, tenants with their traffic, and steps on the way.
+
+use crate::RigError;
+use serde::Deserialize;
+use std::path::Path;
+
+/// An experiment.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    /// What it is to show.
+    pub title: String,
+    /// Seed of all traffic.
+    pub seed: u64,
+    /// How long requests come (s).
+    pub seconds: f64,
+    /// From when on results count (s): what comes before fills the queues.
+    #[serde(default)]
+    pub from_s: f64,
+    /// The engines.
+    pub engines: Engines,
+    /// Classes of requests.
+    pub classes: Vec<Class>,
+    /// Tenants.
+    pub tenants: Vec<Tenant>,
+    /// What is done over the administration API meanwhile.
+    #[serde(default)]
+    pub steps: Vec<Step>,
+    /// Points by which a tenant's part of all service may lie off its share; beyond it the experiment fails.
+    pub within_points: Option<f64>,
+}
+
+/// Engines, all alike.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Engines {
+    /// How many.
+    pub count: usize,
+    /// Cores of each.
+    pub cores: f64,
+    /// Memory of each (MB).
+    pub memory_mb: f64,
+}
+
+/// A class.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Latency aimed at (ms).
+    pub target_ms: f64,
+    /// How long clients wait (ms).
+    pub deadline_ms: f64,
+    /// `repeatable` or `by_key`.
+    #[serde(default = "repeatable")]
+    pub idempotency: String,
+    /// Mean work of a request (ms of one thread); it is exponential, up to five times that.
+    pub work_ms: f64,
+    /// Threads of a request.
+    #[serde(default = "one")]
+    pub threads: f64,
+    /// Memory of a request (MB).
+    #[serde(default)]
+    pub memory_mb: f64,
+    /// Worth of a request.
+    #[serde(default = "one")]
+    pub worth: f64,
+}
+
+/// A tenant and its traffic.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    /// Its name.
+    pub name: String,
+    /// How many tenants alike there are; they are numbered where there are several.
+    #[serde(default = "many")]
+    pub count: usize,
+    /// Its weight.
+    pub weight: f64,
+    /// Its group, which is made with weight 1 where it is not there.
+    pub group: Option<String>,
+    /// Work that it asks for, as a part of what the engines can do.
+    pub load: f64,
+    /// Of its requests, how many are of each class.
+    pub mix: std::collections::BTreeMap<String, f64>,
+    /// When it asks for more or less: from, to (s) and the factor.
+    #[serde(default)]
+    pub bursts: Vec<Burst>,
+    /// Tries of a request that is refused, the first among them.
+    #[serde(default = "many_tries")]
+    pub tries: u32,
+    /// Whether its clients come back when they are told, or at once.
+    #[serde(default = "yes")]
+    pub patient: bool,
+}
+
+/// A time of more or less traffic.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Burst {
+    /// From (s).
+    pub from_s: f64,
+    /// Until (s).
+    pub to_s: f64,
+    /// How much more.
+    pub factor: f64,
+}
+
+/// A call of the administration API.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Step {
+    /// When (s).
+    pub at_s: f64,
+    /// Its method.
+    pub method: String,
+    /// Its target.
+    pub target: String,
+    /// Its body.
+    #[serde(default)]
+    pub body: String,
+}
+
+fn repeatable() -> String {
+    "repeatable".to_owned()
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn many() -> usize {
+    1
+}
+
+fn many_tries() -> u32 {
+    3
+}
+
+fn yes() -> bool {
+    true
+}
+
+impl Experiment {
+    /// Reads a file.
+    pub fn read(path: &Path) -> Result<Experiment, RigError> {
+        let wrong = |why: String| RigError::Experiment(path.to_owned(), why);
+        let text = std::fs::read_to_string(path).map_err(|error| wrong(error.to_string()))?;
+        let experiment: Experiment = toml::from_str(&text).map_err(|error| wrong(error.to_string()))?;
+        experiment.check().map_err(wrong)?;
+        Ok(experiment)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        if !(1.0..=900.0).contains(&self.seconds) || self.from_s >= self.seconds {
+            return Err("seconds must be from 1 to 900, and from_s before their end".to_owned());
+        }
+        if self.engines.count == 0 || self.engines.count > 64 || self.engines.cores <= 0.0 {
+            return Err("engines: from 1 to 64, with cores".to_owned());
+        }
+        for tenant in &self.tenants {
+            let known = |name: &String| self.classes.iter().any(|class| class.name == *name);
+            if tenant.mix.is_empty() || !tenant.mix.keys().all(known) {
+                return Err(format!("tenant {}: mix must name classes", tenant.name));
+            }
+        }
+        // Loads of the rig are bounded in count as well as in time.
+        match self.requests_per_s() <= 5000.0 {
+            true => Ok(()),
+            false => Err(format!("{:.0} requests a second are too many", self.requests_per_s())),
+        }
+    }
+
+    /// Work that all engines can do in a second (ms of one thread).
+    pub fn capacity(&self) -> f64 {
+        self.engines.count as f64 * self.engines.cores * 1000.0
+    }
+
+    /// Requests a second of one tenant of a row, without its bursts.
+    pub fn rate(&self, tenant: &Tenant) -> f64 {
+        let parts: f64 = tenant.mix.values().sum();
+        let work = |name: &String| {
+            self.classes.iter().find(|class| class.name == *name).map_or(0.0, |of| of.work_ms)
+        };
+        let mean: f64 = tenant.mix.iter().map(|(name, part)| part / parts * work(name)).sum();
+        tenant.load * self.capacity() / mean.max(0.1)
+    }
+
+    fn requests_per_s(&self) -> f64 {
+        let most =
+            |tenant: &Tenant| tenant.bursts.iter().fold(1.0, |most: f64, burst| most.max(burst.factor));
+        self.tenants.iter().map(|tenant| tenant.count as f64 * self.rate(tenant) * most(tenant)).sum()
+    }
+
+    /// The tenants by name, each with its row.
+    pub fn named(&self) -> Vec<(String, &Tenant)> {
+        let rows = self.tenants.iter().flat_map(|row| (0..row.count).map(move |number| (number, row)));
+        rows.map(|(number, row)| match row.count {
+            1 => (row.name.clone(), row),
+            _ => (format!("{}-{number}", row.name), row),
+        })
+        .collect()
+    }
+
+    /// The share of each tenant that weights and groups give it.
+    pub fn shares(&self) -> Vec<f64> {
+        let named = self.named();
+        let groups: std::collections::BTreeSet<&String> =
+            self.tenants.iter().filter_map(|row| row.group.as_ref()).collect();
+        let single: f64 =
+            named.iter().filter(|(_, row)| row.group.is_none()).map(|(_, row)| row.weight).sum();
+        let whole = single + groups.len() as f64;
+        let share = |row: &Tenant| match &row.group {
+            None => row.weight / whole,
+            Some(group) => {
+                let members = named.iter().filter(|(_, other)| other.group.as_ref() == Some(group));
+                row.weight / members.map(|(_, other)| other.weight).sum::<f64>() / whole
+            }
+        };
+        named.iter().map(|(_, row)| share(row)).collect()
+    }
+}
--- /dev/null
+++ b/crates/rig/src/main.rs
@@ -0,0 +1,145 @@
+//! `sanddyke-rig`: runs experiments and keeps what they show.
+
+use clap::{Parser, Subcommand};
+use sanddyke_rig::client;
+use sanddyke_rig::engine::{self, Spec};
+use sanddyke_rig::experiment::Experiment;
+use sanddyke_rig::program::Program;
+use sanddyke_rig::report::Report;
+use sanddyke_rig::{RigError, client::Outcome};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+/// Experiments on a sanddyke process with emulated engines.
+#[derive(Debug, Parser)]
+#[command(
+    version,
+    after_help = "Exit codes: 0 done; 1 the experiment could not be run; 2 the command line is \
+wrong; 3 a tenant's service was off its share by more than the experiment allows."
+)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run an experiment.
+    #[command(after_help = "Example:\n  sanddyke-rig run experiments/flood.toml --out docs/measurements")]
+    Run {
+        /// The experiment.
+        file: PathBuf,
+        /// The program.
+        #[arg(long, default_value = "target/release/sanddyke")]
+        program: PathBuf,
+        /// Where tables and charts are written, under the experiment's name.
+        #[arg(long)]
+        out: Option<PathBuf>,
+        /// Print the report as JSON.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+/// What is still open when the time is up may end within this.
+const LAST_ANSWERS: Duration = Duration::from_secs(30);
+
+async fn run(experiment: Experiment, binary: &Path) -> Result<Report, RigError> {
+    let mut engines = Vec::new();
+    for _ in 0..experiment.engines.count {
+        let spec = Spec { cores: experiment.engines.cores, memory_mb: experiment.engines.memory_mb };
+        engines.push(engine::start(spec).await?);
+    }
+    let addresses: Vec<_> = engines.iter().map(|engine| engine.address).collect();
+    let program = Program::start(binary, &experiment, &addresses).await?;
+    let experiment = Arc::new(experiment);
+    let (sink, mut outcomes) = mpsc::unbounded_channel();
+    let start = Instant::now();
+    for index in 0..experiment.named().len() {
+        tokio::spawn(client::tenant(experiment.clone(), index, program.http, start, sink.clone()));
+    }
+    drop(sink);
+    let collected = async {
+        let mut all: Vec<Outcome> = Vec::new();
+        while let Some(outcome) = outcomes.recv().await {
+            all.push(outcome);
+        }
+        all
+    };
+    let steps = async {
+        for step in &experiment.steps {
+            tokio::time::sleep_until(start + Duration::from_secs_f64(step.at_s)).await;
+            program.call(&step.method, &step.target, &step.body).await?;
+        }
+        Ok::<(), RigError>(())
+    };
+    let most = Duration::from_secs_f64(experiment.seconds) + LAST_ANSWERS;
+    let (all, stepped) = tokio::time::timeout(most, async { tokio::join!(collected, steps) })
+        .await
+        .map_err(|_| RigError::Program("requests were left without an end".to_owned()))?;
+    stepped?;
+    Ok(Report::of(&experiment, &all))
+}
+
+fn keep(report: &Report, folder: &Path, name: &str) -> Result<(), RigError> {
+    std::fs::create_dir_all(folder)?;
+    std::fs::write(folder.join(format!("{name}.csv")), report.csv())?;
+    std::fs::write(folder.join(format!("{name}-seconds.csv")), report.seconds_csv())?;
+    report.chart(&folder.join(format!("{name}.svg")))
+}
+
+fn table(report: &Report) {
+    println!("{}", report.title);
+    println!(
+        "{:<16} {:>6} {:>8} {:>7} {:>7} {:>7} {:>7} {:>6} {:>8} {:>8}",
+        "tenant", "share", "service", "asked", "served", "refused", "failed", "lost", "p50 ms", "p99 ms"
+    );
+    for row in report.rows.iter().take(40) {
+        println!(
+            "{:<16} {:>6.3} {:>8.3} {:>7} {:>7} {:>7} {:>7} {:>6} {:>8.1} {:>8.1}",
+            row.tenant,
+            row.share,
+            row.service,
+            row.asked,
+            row.served,
+            row.refused,
+            row.failed,
+            row.unanswered + row.unsent,
+            row.p50_ms,
+            row.p99_ms
+        );
+    }
+    println!("worst distance from a share: {:.2} points", report.worst_points);
+}
+
+fn main() -> ExitCode {
+    let Command::Run { file, program, out, json } = Arguments::parse().command;
+    let ran = Experiment::read(&file).and_then(|experiment| {
+        let allowed = experiment.within_points;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        Ok((runtime.block_on(run(experiment, &program))?, allowed))
+    });
+    let kept = ran.and_then(|(report, allowed)| {
+        let name = file.file_stem().map_or("run".to_owned(), |name| name.to_string_lossy().into_owned());
+        out.map_or(Ok(()), |folder| keep(&report, &folder, &name))?;
+        Ok((report, allowed))
+    });
+    match kept {
+        Ok((report, allowed)) => {
+            match json {
+                true => println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default()),
+                false => table(&report),
+            }
+            let off = allowed.is_some_and(|points| report.worst_points > points);
+            if off { ExitCode::from(3) } else { ExitCode::SUCCESS }
+        }
+        Err(error) => {
+            eprintln!("sanddyke-rig: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
