Keep the cost of a request the same at 10,000 tenants; measure floods and share changes

Cause: the round robin went on through all tenants when no class could go, the upkeep walked idle groups, and each window's latency budget was worked out anew. What a tenant was charged while its share was next to nothing weighed for ever in its turn.

Change: a round ends when no waiting class has an engine left; budgets are worked out by steps of 1 %; under another share the work by which a tenant is ahead stays the same; a suspended tenant's waiting work keeps its turns.

--- /dev/null
+++ b/benches/core.rs
@@ -0,0 +1,196 @@
+//! What a request costs the core and the module, from its arrival to its end, as tenants, engines and queues
+//! grow. Time is virtual: requests come at a fixed rate and engines answer after a fixed time; only the time
+//! inside the core counts.
+//!
+//! `cargo bench --bench core` prints each figure; `docs/tenants.md` keeps them as ratios of one run.
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use sanddyke::clock::Micros;
+use sanddyke::core::{
+    Arrival, AttemptNews, Command, ConnectionEnd, Core, Engine, EngineNews, Input, Table, TenantNews,
+};
+use sanddyke::interface::{EngineState, LoadReport};
+use sanddyke_tenancy::{Generation, State, Tenant, TenantId, TenantSpec};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const SETTINGS: &str = r#"{"allowed":{"attemptsCap":3,"cancel":true,"probes":true,"maxRetryAfterMs":2000},
+    "classes":[{"deadlineMs":4000,"idempotency":"repeatable","name":"lookup","targetMs":900,"worth":1},
+               {"deadlineMs":9000,"idempotency":"repeatable","name":"report","targetMs":3000,"worth":1}],
+    "discovery":"pushed","models":["std"],"replicasOfMe":1,
+    "report":{"columns":["util","queue","x0","x1"]},"safety":{"coldFrom":0.33,"overloadFactor":2,
+    "tipAfterMs":2000,"warmUpMs":15000},"stepMs":5,"familyInfo":{"kindCores":[8],"tellsEveryMs":500}}"#;
+
+/// Time between two requests (us): a thousand a second.
+const EVERY: i64 = 1000;
+
+#[derive(Debug, Clone, Copy)]
+struct Scene {
+    tenants: usize,
+    sending: usize,
+    engines: usize,
+    /// Whether more is asked than the engines can do.
+    standing: bool,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Answer { request: u64, attempt: u32 },
+    Probe { engine: u64 },
+}
+
+struct World {
+    core: Core,
+    scene: Scene,
+    service: i64,
+    now: i64,
+    next: u64,
+    due: BinaryHeap<Reverse<(i64, u64, Due)>>,
+    count: u64,
+    out: Vec<Command>,
+    inside: Duration,
+    statement: Arc<str>,
+}
+
+impl World {
+    fn new(scene: Scene) -> World {
+        let front = sanddyke::settings::parse(SETTINGS).expect("good settings");
+        // Half as much again as the engines have threads for, or a hundredth.
+        let threads = scene.engines as i64 * 10;
+        let service =
+            if scene.standing { threads * 3 / 2 * EVERY } else { threads / 100 * EVERY + 2 * EVERY };
+        let mut world = World {
+            core: Core::new(front, 100_000, 1, Micros(0)).host(),
+            scene,
+            service,
+            now: 1_000_000,
+            next: 0,
+            due: BinaryHeap::new(),
+            count: 0,
+            out: Vec::new(),
+            inside: Duration::ZERO,
+            statement: "SELECT 1".into(),
+        };
+        let engine = |number: usize| Engine {
+            name: format!("e{number}"),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            zone: "a".to_owned(),
+            kind: "std".to_owned(),
+            cell: None,
+            state: EngineState::Ready,
+            weight: 1.0,
+            started: None,
+        };
+        world.tell(Input::Engines(EngineNews::Start((0..scene.engines).map(engine).collect())));
+        let tenant = |number: usize| TenantNews::Set {
+            tenant: Box::new(Tenant {
+                id: TenantId(number as u64 + 1),
+                name: format!("t{number}"),
+                spec: TenantSpec::default(),
+                state: State::Active,
+                generation: Generation(1),
+            }),
+            share: 1.0 / scene.tenants as f64,
+            group: None,
+        };
+        world.tell(Input::Tenants((0..scene.tenants).map(tenant).collect()));
+        world.run(8_000); // until queues stand, and windows are full
+        world
+    }
+
+    fn tell(&mut self, input: Input) {
+        let began = Instant::now();
+        self.core.handle(Micros(self.now), input, &mut self.out);
+        self.inside += began.elapsed();
+        for command in self.out.drain(..) {
+            self.count += 1;
+            match command {
+                Command::Launch { request, attempt, .. } => {
+                    let due = Due::Answer { request, attempt };
+                    self.due.push(Reverse((self.now + self.service, self.count, due)));
+                }
+                Command::Probe { engine } => {
+                    self.due.push(Reverse((self.now + 500, self.count, Due::Probe { engine })));
+                }
+                other => drop(black_box(other)),
+            }
+        }
+    }
+
+    /// Runs so many requests; gives the time inside the core.
+    fn run(&mut self, requests: u64) -> Duration {
+        self.inside = Duration::ZERO;
+        for _ in 0..requests {
+            let at = self.now + EVERY;
+            while let Some(next) = self.next_due().filter(|next| *next <= at) {
+                self.now = self.now.max(next);
+                self.one_due();
+            }
+            self.now = at;
+            self.next += 1;
+            let arrival = Arrival {
+                request: self.next,
+                name: format!("r{}", self.next),
+                class: if self.next.is_multiple_of(2) { "lookup" } else { "report" }.to_owned(),
+                tenant: Some(format!("t{}", self.next as usize % self.scene.sending)),
+                key: None,
+                statement: self.statement.clone(),
+                left: Micros(8_000_000),
+            };
+            self.tell(Input::Arrived(arrival));
+        }
+        self.inside
+    }
+
+    fn next_due(&self) -> Option<i64> {
+        let ours = self.due.peek().map(|Reverse((at, ..))| *at);
+        let cores = self.core.next_wake().map(|at| at.0);
+        ours.into_iter().chain(cores).min()
+    }
+
+    fn one_due(&mut self) {
+        if self.due.peek().is_some_and(|Reverse((at, ..))| *at <= self.now) {
+            let Some(Reverse((_, _, due))) = self.due.pop() else { return };
+            let report = Some(LoadReport { busy: Some(0.9), ..LoadReport::default() });
+            let input = match due {
+                Due::Answer { request, attempt } => {
+                    let news = AttemptNews::Served { table: Table::default(), usage: None, report };
+                    Input::Attempt { request, attempt, news }
+                }
+                Due::Probe { engine } => {
+                    Input::Probed { engine, end: ConnectionEnd::Answered, report, elapsed: Micros(500) }
+                }
+            };
+            return self.tell(input);
+        }
+        self.tell(Input::Clock);
+    }
+}
+
+fn scenes(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("request");
+    group.sample_size(10).measurement_time(Duration::from_secs(2)).warm_up_time(Duration::from_millis(200));
+    for standing in [false, true] {
+        for (tenants, sending, engines) in
+            [(3, 3, 8), (100, 100, 8), (10_000, 3, 8), (10_000, 100, 8), (10_000, 10_000, 8), (3, 3, 1024)]
+        {
+            let scene = Scene { tenants, sending, engines, standing };
+            let load = if standing { "standing" } else { "idle" };
+            let mut world = World::new(scene);
+            group.bench_function(
+                format!("{load}/{tenants}-tenants-{sending}-send/{engines}-engines"),
+                |bencher| {
+                    bencher.iter_custom(|requests| world.run(requests));
+                },
+            );
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, scenes);
+criterion_main!(benches);
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -16,8 +16,17 @@
 pub mod program;
 pub mod report;
 
-use std::path::PathBuf;
+use client::Outcome;
+use engine::Spec;
+use experiment::Experiment;
+use program::Program;
+use report::Report;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
 use thiserror::Error;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// Why an experiment can't be run.
 #[derive(Debug, Error)]
@@ -38,3 +47,44 @@
     #[error("the chart: {0}")]
     Chart(String),
 }
+
+/// What is still open when the time is up may end within this.
+const LAST_ANSWERS: Duration = Duration::from_secs(30);
+
+/// Runs an experiment on a program, which is started for it and ends with it.
+pub async fn run(experiment: Experiment, binary: &Path) -> Result<Report, RigError> {
+    let mut engines = Vec::new();
+    for _ in 0..experiment.engines.count {
+        let spec = Spec { cores: experiment.engines.cores, memory_mb: experiment.engines.memory_mb };
+        engines.push(engine::start(spec).await?);
+    }
+    let addresses: Vec<_> = engines.iter().map(|engine| engine.address).collect();
+    let program = Program::start(binary, &experiment, &addresses).await?;
+    let experiment = Arc::new(experiment);
+    let (sink, mut outcomes) = mpsc::unbounded_channel();
+    let start = Instant::now();
+    for index in 0..experiment.named().len() {
+        tokio::spawn(client::tenant(experiment.clone(), index, program.http, start, sink.clone()));
+    }
+    drop(sink);
+    let collected = async {
+        let mut all: Vec<Outcome> = Vec::new();
+        while let Some(outcome) = outcomes.recv().await {
+            all.push(outcome);
+        }
+        all
+    };
+    let steps = async {
+        for step in &experiment.steps {
+            tokio::time::sleep_until(start + Duration::from_secs_f64(step.at_s)).await;
+            program.call(&step.method, &step.target, &step.body).await?;
+        }
+        Ok::<(), RigError>(())
+    };
+    let most = Duration::from_secs_f64(experiment.seconds) + LAST_ANSWERS;
+    let (all, stepped) = tokio::time::timeout(most, async { tokio::join!(collected, steps) })
+        .await
+        .map_err(|_| RigError::Program("requests were left without an end".to_owned()))?;
+    stepped?;
+    Ok(Report::of(&experiment, &all))
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,18 +1,11 @@
 //! `sanddyke-rig`: runs experiments and keeps what they show.
 
 use clap::{Parser, Subcommand};
-use sanddyke_rig::client;
-use sanddyke_rig::engine::{self, Spec};
 use sanddyke_rig::experiment::Experiment;
-use sanddyke_rig::program::Program;
 use sanddyke_rig::report::Report;
-use sanddyke_rig::{RigError, client::Outcome};
+use sanddyke_rig::{RigError, run};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::Arc;
-use std::time::Duration;
-use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 /// Experiments on a sanddyke process with emulated engines.
 #[derive(Debug, Parser)]
@@ -45,46 +38,6 @@
     },
 }
 
-/// What is still open when the time is up may end within this.
-const LAST_ANSWERS: Duration = Duration::from_secs(30);
-
-async fn run(experiment: Experiment, binary: &Path) -> Result<Report, RigError> {
-    let mut engines = Vec::new();
-    for _ in 0..experiment.engines.count {
-        let spec = Spec { cores: experiment.engines.cores, memory_mb: experiment.engines.memory_mb };
-        engines.push(engine::start(spec).await?);
-    }
-    let addresses: Vec<_> = engines.iter().map(|engine| engine.address).collect();
-    let program = Program::start(binary, &experiment, &addresses).await?;
-    let experiment = Arc::new(experiment);
-    let (sink, mut outcomes) = mpsc::unbounded_channel();
-    let start = Instant::now();
-    for index in 0..experiment.named().len() {
-        tokio::spawn(client::tenant(experiment.clone(), index, program.http, start, sink.clone()));
-    }
-    drop(sink);
-    let collected = async {
-        let mut all: Vec<Outcome> = Vec::new();
-        while let Some(outcome) = outcomes.recv().await {
-            all.push(outcome);
-        }
-        all
-    };
-    let steps = async {
-        for step in &experiment.steps {
-            tokio::time::sleep_until(start + Duration::from_secs_f64(step.at_s)).await;
-            program.call(&step.method, &step.target, &step.body).await?;
-        }
-        Ok::<(), RigError>(())
-    };
-    let most = Duration::from_secs_f64(experiment.seconds) + LAST_ANSWERS;
-    let (all, stepped) = tokio::time::timeout(most, async { tokio::join!(collected, steps) })
-        .await
-        .map_err(|_| RigError::Program("requests were left without an end".to_owned()))?;
-    stepped?;
-    Ok(Report::of(&experiment, &all))
-}
-
 fn keep(report: &Report, folder: &Path, name: &str) -> Result<(), RigError> {
     std::fs::create_dir_all(folder)?;
     std::fs::write(folder.join(format!("{name}.csv")), report.csv())?;
--- a/crates/tenancy/src/queue.rs
+++ b/crates/tenancy/src/queue.rs
@@ -25,6 +25,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 struct Turn(f64);
 
+impl Turn {
+    /// As far ahead of the virtual time as before, in other units; one that is behind stays where it is.
+    fn scaled(self, served: Turn, factor: f64) -> Turn {
+        if self > served { Turn(served.0 + (self.0 - served.0) * factor) } else { self }
+    }
+}
+
 impl Eq for Turn {}
 impl PartialOrd for Turn {
     fn partial_cmp(&self, other: &Turn) -> Option<std::cmp::Ordering> {
@@ -92,26 +99,27 @@
 
 impl FairQueue {
     /// Adds a member, or gives it another share or group; `share` is its part of the whole, `group` the
-    /// number of its group. What waits goes on waiting.
+    /// number of its group. What waits goes on waiting. Under another share the work by which the member, and
+    /// its group, are ahead of others stays the same, and so does not weigh for ever once a share has been tiny.
     pub fn set(&mut self, member: usize, group: Option<u64>, share: f64) {
         let group = group.map_or(2 * member as u64, |number| 2 * number + 1);
         let share = share.max(LEAST_SHARE);
         if let Some(old) = self.members.get_mut(member).and_then(Option::as_mut)
             && old.group == group
         {
-            let change = share - std::mem::replace(&mut old.share, share);
-            self.groups.entry(group).and_modify(|group| group.share += change);
-            return;
+            return self.reshare(member, share);
         }
         let waiting = self.remove(member);
         self.members.resize_with(self.members.len().max(member + 1), || None);
         let into = self.groups.entry(group).or_default();
         into.members += 1;
-        into.share += share;
         // In another group it starts as one that has been idle there.
         let turn = into.served;
+        self.grow(group, share);
         self.members[member] = Some(Member { group, share, turn, waiting: BTreeSet::new() });
-        waiting.into_iter().for_each(|(rank, id)| self.push(member, rank, id));
+        for (rank, id) in waiting {
+            self.push(member, rank, id);
+        }
     }
 
     /// Forgets a member; gives what it had waiting.
@@ -120,9 +128,9 @@
             return BTreeSet::new();
         };
         self.place(member, &old, old.band(), None);
+        self.grow(old.group, -old.share);
         if let Some(group) = self.groups.get_mut(&old.group) {
             group.members -= 1;
-            group.share -= old.share;
             if group.members == 0 {
                 self.groups.remove(&old.group);
             }
@@ -130,9 +138,45 @@
         std::mem::take(&mut old.waiting)
     }
 
-    /// Puts in what a member has waiting; nothing where there is no such member.
-    pub fn push(&mut self, member: usize, rank: Rank, id: u64) {
-        self.change(member, |waiting| waiting.insert((rank, id)));
+    fn reshare(&mut self, number: usize, share: f64) {
+        let Some(mut member) = self.members.get_mut(number).and_then(Option::take) else { return };
+        let band = member.band();
+        self.place(number, &member, band, None);
+        let old = std::mem::replace(&mut member.share, share);
+        if let Some(group) = self.groups.get(&member.group) {
+            member.turn = member.turn.scaled(group.served, old / share);
+        }
+        self.grow(member.group, share - old);
+        self.place(number, &member, None, band);
+        self.members[number] = Some(member);
+    }
+
+    /// Adds to a group's share.
+    fn grow(&mut self, id: u64, by: f64) {
+        let served = self.served;
+        self.rekey(id, |group| {
+            let old = group.share;
+            group.share = (old + by).max(0.0);
+            if old >= LEAST_SHARE && group.share >= LEAST_SHARE {
+                group.turn = group.turn.scaled(served, old / group.share);
+            }
+        });
+    }
+
+    /// Changes a group, and its places in the order with it.
+    fn rekey(&mut self, id: u64, change: impl FnOnce(&mut Group)) {
+        let Some(group) = self.groups.get_mut(&id) else { return };
+        let before = group.turn;
+        change(group);
+        for (band, _) in group.waiting.iter().enumerate().filter(|(_, waiting)| !waiting.is_empty()) {
+            self.order[band].remove(&(before, id));
+            self.order[band].insert((group.turn, id));
+        }
+    }
+
+    /// Puts in what a member has waiting; false where it waits already, or there is no such member.
+    pub fn push(&mut self, member: usize, rank: Rank, id: u64) -> bool {
+        self.change(member, |waiting| waiting.insert((rank, id)))
     }
 
     /// Takes out what a member had waiting; false where it had no such thing.
@@ -203,10 +247,13 @@
         member.into_iter().flat_map(|member| member.waiting.iter().map(|(_, id)| *id))
     }
 
-    /// All that waits, in the order of its ranks, whosever it is. Costs a sort of it.
+    /// All that waits, in the order of its ranks, whosever it is. Costs a sort of it; idle members cost nothing.
     pub fn sorted(&self) -> Vec<u64> {
-        let members = self.groups.values().flat_map(|group| group.waiting.iter().flatten());
-        let members = members.filter_map(|(_, number)| self.members.get(*number)?.as_ref());
+        // Each member that waits stands in one band of its group: that of the first of what it has.
+        let groups = self.order.iter().enumerate().flat_map(|(band, order)| {
+            order.iter().filter_map(move |(_, id)| Some(&self.groups.get(id)?.waiting[band]))
+        });
+        let members = groups.flatten().filter_map(|(_, number)| self.members.get(*number)?.as_ref());
         let mut all: Vec<(Rank, u64)> = members.flat_map(|member| member.waiting.iter().copied()).collect();
         all.sort_unstable();
         all.into_iter().map(|(_, id)| id).collect()
@@ -222,16 +269,12 @@
         let Some(member) = self.members.get_mut(number).and_then(Option::as_mut) else { return };
         let Some(group) = self.groups.get_mut(&member.group) else { return };
         (self.served, group.served) = (self.served.max(group.turn), group.served.max(member.turn));
-        let before = (group.turn, member.turn);
-        group.turn.0 += work / group.share.max(LEAST_SHARE);
+        let (id, before) = (member.group, member.turn);
         member.turn.0 += work / member.share;
         if let Some(band) = member.band() {
-            group.waiting[band].remove(&(before.1, number));
+            group.waiting[band].remove(&(before, number));
             group.waiting[band].insert((member.turn, number));
         }
-        for (band, _) in group.waiting.iter().enumerate().filter(|(_, waiting)| !waiting.is_empty()) {
-            self.order[band].remove(&(before.0, member.group));
-            self.order[band].insert((group.turn, member.group));
-        }
+        self.rekey(id, |group| group.turn.0 += work / group.share.max(LEAST_SHARE));
     }
 }
--- a/crates/tenancy/tests/queue.rs
+++ b/crates/tenancy/tests/queue.rs
@@ -13,7 +13,9 @@
     work: impl Fn(usize) -> f64,
 ) -> BTreeMap<usize, f64> {
     let mut got = BTreeMap::new();
-    busy.iter().for_each(|member| queue.push(*member, (0, 0), 0));
+    for member in busy {
+        queue.push(*member, (0, 0), 0);
+    }
     for round in 0..rounds {
         let member = queue.next(None).expect("some wait").member();
         queue.take(member, (0, 0), 0);
@@ -62,10 +64,8 @@
                     prop_assert_eq!(queue.remove(member), model.remove(&member).unwrap_or_default());
                 }
                 2 | 3 => {
-                    queue.push(member, rank, id);
-                    if let Some(waiting) = model.get_mut(&member) {
-                        waiting.insert((rank, id));
-                    }
+                    let new = model.get_mut(&member).is_some_and(|waiting| waiting.insert((rank, id)));
+                    prop_assert_eq!(queue.push(member, rank, id), new);
                 }
                 4 => {
                     let there = model.get_mut(&member).is_some_and(|waiting| waiting.remove(&(rank, id)));
@@ -150,3 +150,20 @@
     queue.set(0, Some(3), 0.9);
     assert_eq!(queue.sorted(), [50], "also in another group");
 }
+
+/// Guards against a tenant that was suspended with work waiting and got no turn for minutes after: what was
+/// charged while its share was next to nothing weighed for ever.
+#[test]
+fn a_time_without_a_share_is_not_paid_for_afterwards() {
+    for group in [None, Some(4)] {
+        let mut queue = FairQueue::default();
+        queue.set(0, None, 0.5);
+        queue.set(1, group, 0.5);
+        serve(&mut queue, &[0, 1], 100, |_| 1.0);
+        queue.set(1, group, 0.0);
+        serve(&mut queue, &[1], 10, |_| 1.0);
+        queue.set(1, group, 0.5);
+        let got = serve(&mut queue, &[0, 1], 100, |_| 1.0);
+        assert!(got.get(&1).is_some_and(|got| (got - 45.0).abs() <= 8.0), "{group:?}: {got:?}");
+    }
+}
--- a/crates/window/src/lib.rs
+++ b/crates/window/src/lib.rs
@@ -15,7 +15,7 @@
 #![warn(missing_docs)]
 
 use special::Gamma;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 
 /// Bounds of a CV: fewer than some answers say too little for more.
 const CV_BOUNDS: (f64, f64) = (0.1, 10.0);
@@ -35,7 +35,6 @@
 pub struct Window {
     done: VecDeque<Completion>,
     most: usize,
-    fresh: bool,
 }
 
 /// Moments of a window.
@@ -59,7 +58,6 @@
 
     /// Adds a completion: when, its latency and service time where it was served, and what it cost.
     pub fn push(&mut self, at: f64, served: Option<(f64, f64)>, cost: f64) {
-        self.fresh = true;
         self.done.push_back(Completion { at, served, cost });
         if self.done.len() > self.most {
             self.done.pop_front();
@@ -83,11 +81,6 @@
         self.done.is_empty()
     }
 
-    /// Whether any has come since this was last asked.
-    pub fn take_fresh(&mut self) -> bool {
-        std::mem::take(&mut self.fresh)
-    }
-
     /// Its moments, where two were served at least. Costs a walk over it.
     pub fn moments(&self) -> Option<Moments> {
         let served = || self.done.iter().filter_map(|one| one.served);
@@ -133,6 +126,27 @@
     }
 }
 
+/// Remembers a costly function of two positive numbers by steps of one percent of each: its result for a step is
+/// that for the middle of it, whoever asks first. Past so many results it begins anew.
+#[derive(Debug, Clone, Default)]
+pub struct Memo(HashMap<(i32, i32), f64>);
+
+impl Memo {
+    const STEP: f64 = 1.01;
+    const MOST: usize = 4096;
+
+    /// The function's result, worked out once a step.
+    pub fn get(&mut self, a: f64, b: f64, work_out: impl FnOnce(f64, f64) -> f64) -> f64 {
+        let step = |x: f64| (x.max(1e-9).ln() / Self::STEP.ln()).round() as i32;
+        let middle = |step: i32| Self::STEP.powi(step);
+        if self.0.len() >= Self::MOST {
+            self.0.clear();
+        }
+        let key = (step(a), step(b));
+        *self.0.entry(key).or_insert_with(|| work_out(middle(key.0), middle(key.1)))
+    }
+}
+
 /// What runs somewhere, added up.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Load {
@@ -218,6 +232,23 @@
         assert!((law.mean - 1.5).abs() < 1e-6, "{law:?}");
     }
 
+    #[test]
+    fn a_memo_works_out_each_step_once() {
+        let (mut memo, mut worked) = (Memo::default(), 0);
+        let mut product = |a: f64, b: f64| {
+            memo.get(a, b, |a, b| {
+                worked += 1;
+                a * b
+            })
+        };
+        for _ in 0..3 {
+            assert!((product(0.8, 900.0) / 720.0 - 1.0).abs() < 0.011);
+            assert_eq!(product(0.8005, 900.5), product(0.8, 900.0), "of the same step");
+        }
+        assert_ne!(product(0.83, 900.0), product(0.8, 900.0));
+        assert_eq!(worked, 2);
+    }
+
     #[test]
     fn a_timeline_counts_both_sides_of_a_point() {
         let mut line = Timeline::default();
@@ -230,12 +261,10 @@
     #[test]
     fn a_window_holds_so_many_and_so_long() {
         let mut window = Window::new(3);
-        assert!(!window.take_fresh());
         for at in 0..5 {
             window.push(f64::from(at), None, 1.0);
         }
         assert_eq!((window.len(), window.moments()), (3, None));
-        assert!(window.take_fresh() && !window.take_fresh());
         window.trim(4.0);
         assert_eq!(window.len(), 1);
         window.trim(9.0);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -96,8 +96,8 @@
     front: Front,
     max_open: usize,
     roster: Roster,
-    /// By slot, what the module was last told.
-    shares: Vec<f64>,
+    /// By slot, the share, and the one that the module was last told.
+    shares: Vec<(f64, f64)>,
     /// Tenants come from a store: one that is not there is unknown, also where there are none at all.
     hosted: bool,
     requests: HashMap<u64, Open>,
@@ -124,7 +124,7 @@
             roster.set(&Tenant { id, name, spec, state: State::Active, generation: Generation(0) });
         }
         Core {
-            shares: front.settings.tenants.iter().map(|told| told.share).collect(),
+            shares: front.settings.tenants.iter().map(|told| (told.share, told.share)).collect(),
             roster,
             hosted: false,
             gateway: Gateway::new(front.settings.clone(), seed, now.as_ms()),
@@ -271,8 +271,11 @@
         match news {
             TenantNews::Set { tenant, share, group } => {
                 let slot = self.roster.set(&tenant);
-                self.shares.resize(self.shares.len().max(slot + 1), 0.0);
-                self.shares[slot] = share;
+                self.shares.resize(self.shares.len().max(slot + 1), (0.0, 0.0));
+                // Work that a suspended tenant has waiting keeps the turns that it had.
+                let told = if share > 0.0 { share } else { self.shares[slot].1 };
+                self.shares[slot] = (share, told);
+                let share = told;
                 let told = TenantSettings { share, quota_per_s: tenant.spec.quota_rps, group };
                 self.decide(now, Event::Tenant { tenant: crate::TenantId(slot), told: Some(told) }, out);
             }
@@ -287,6 +290,7 @@
     fn forget_tenant(&mut self, now: Micros, slot: Option<Slot>, out: &mut Vec<Command>) {
         if let Some(slot) = slot {
             self.books.forget(slot);
+            self.shares[slot] = (0.0, 0.0);
             self.decide(now, Event::Tenant { tenant: crate::TenantId(slot), told: None }, out);
         }
     }
@@ -368,7 +372,7 @@
             id: tenant.id,
             name: tenant.name.clone(),
             state: tenant.state,
-            share: self.shares.get(slot).copied().unwrap_or(0.0),
+            share: self.shares.get(slot).map_or(0.0, |(share, _)| *share),
             open,
             attempts,
             refused: self.roster.refusals(slot).map(|(reason, count)| (reason.code(), count)).collect(),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,7 +8,7 @@
 use oorandom::Rand64;
 use sanddyke_draw::{Draws, Fit};
 use sanddyke_tenancy::{FairQueue, Rank};
-use sanddyke_window::{GeneralizedExponential, Load, Timeline, Window};
+use sanddyke_window::{GeneralizedExponential, Load, Memo, Timeline, Window};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // --- The mechanism (tunable by the design page: range, alpha steps, target, staircase, window) ---
@@ -156,6 +156,9 @@
     elapsed: Millis, // mean time of an answer, and the least that it was for long
     best: Millis,
     patience: Millis, // how long its clients wait
+    held: usize,      // best-effort requests that wait, and those for which no engine had room in this round
+    misses: usize,
+    budgets: Memo, // latency budgets by CV and aim
 }
 
 /// A tenant that has asked something lately.
@@ -215,7 +218,6 @@
     pace: Pace,
     own: Load,              // what runs on all engines
     draws: Draws<EngineId>, // by class, engines that may have room: all but those found full since the tick
-    misses: Vec<usize>,     // by class, requests for which no engine had room, in this round of sends
 }
 
 /// Algorithm 1: the highest mean latency at which disengagement stays within its range.
@@ -287,7 +289,6 @@
         let full = if tiny { FULL_FIRST.1 } else { FULL_FIRST.0 };
         let mut gateway = Gateway {
             classes: classes.iter().map(stats).collect(),
-            misses: vec![0; classes.len()],
             draws: Draws::new(classes.len()),
             told: vec![None],
             tenants: BTreeMap::new(),
@@ -552,9 +553,8 @@
         let (mut worst, mut best, mut cvs, mut count) = (0.0f64, f64::INFINITY, 0.0, 0.0);
         let mut seen = [0.0, 0.0]; // ends of all classes, and of sensitive ones
         let now = self.now;
-        let lately = |tenant: &Tenant| now - tenant.seen < TENANT_KEPT_MS;
         let busy = |tenant: &Tenant| tenant.streams.iter().any(|stream| !stream.done.is_empty());
-        self.tenants.retain(|_, tenant| lately(tenant) || busy(tenant));
+        self.tenants.retain(|_, tenant| now - tenant.seen < TENANT_KEPT_MS || busy(tenant));
         let streams = self.tenants.values_mut().flat_map(|tenant| tenant.streams.iter_mut().enumerate());
         for (index, stream) in streams {
             let class = &self.settings.classes[index];
@@ -563,11 +563,10 @@
             seen[0] += total;
             seen[1] += if class.is_sensitive() { total } else { 0.0 };
             let Some(told) = stream.done.moments() else { continue };
-            if stream.done.take_fresh() {
-                let aim = class.aim(self.classes[index].work);
-                stream.service = told.service;
-                stream.slack = (latency_budget(told.cv, aim, class.deadline_ms) - told.service).max(0.0);
-            }
+            let stats = &mut self.classes[index];
+            let (aim, deadline) = (class.aim(stats.work), class.deadline_ms);
+            let budget = stats.budgets.get(told.cv, aim, |cv, aim| latency_budget(cv, aim, deadline));
+            (stream.service, stream.slack) = (told.service, (budget - told.service).max(0.0));
             if class.is_sensitive() {
                 (worst, best) = (worst.max(told.cost / U_TARGET), best.min(told.cost / U_TARGET));
                 (cvs, count) = (cvs + told.cv, count + 1.0);
@@ -589,7 +588,7 @@
     /// Fills free slots: alpha chooses the side, an idle or stuck side lends to the other.
     fn dispatch(&mut self) {
         let mut shut = [self.sensitive.is_empty(), self.queue.is_empty()];
-        self.misses.fill(0);
+        self.classes.iter_mut().for_each(|stats| stats.misses = 0);
         while !(shut[0] && shut[1]) {
             let drawn = usize::from(self.rng.rand_float() >= self.pace.alpha.unwrap_or(ALPHA_FIRST));
             let side = if shut[drawn] { 1 - drawn } else { drawn };
@@ -603,7 +602,8 @@
     /// tenant saves up no turns: it comes back at the turn that was served last.
     fn round_robin(&mut self) -> bool {
         let mut place = None;
-        let left = |gateway: &Gateway| (0..gateway.classes.len()).any(|class| !gateway.is_stuck(class));
+        let left =
+            |all: &Gateway| (0..all.classes.len()).any(|at| all.classes[at].held > 0 && !all.is_stuck(at));
         while let Some(next) = self.queue.next(place).filter(|_| left(self)) {
             // Loads whose data set is held on every engine do not count: they would block all behind them.
             let stands = |set: u64| self.is_held(set);
@@ -644,7 +644,7 @@
         };
         let lighter = drawn.into_iter().flatten().map(weigh).min_by(|a, b| a.1.total_cmp(&b.1));
         (self.draws, self.rng) = (draws, rng);
-        self.misses[class] += usize::from(lighter.is_none());
+        self.classes[class].misses += usize::from(lighter.is_none());
         lighter.map(|(id, _)| id)
     }
 
@@ -661,7 +661,7 @@
         }
         let silent = usable.iter().filter(|engine| !engine.is_fresh(self.now)).map(|engine| engine.entry.id);
         let mut silent: Vec<EngineId> = silent.collect();
-        self.misses[job.class] = LOOK;
+        self.classes[job.class].misses = LOOK;
         let out = self.engines.values().any(|engine| engine.probe.is_some());
         for _ in 0..(2 * usize::from(!out && self.now >= self.pace.draw_at)).min(silent.len()) {
             let id = silent.swap_remove(self.rng.rand_range(0..silent.len() as u64) as usize);
@@ -674,7 +674,7 @@
 
     /// Whether no engine has room for a class in this round, or none was found for too many.
     fn is_stuck(&self, class: usize) -> bool {
-        self.draws.listed(class) == 0 || self.misses[class] >= LOOK
+        self.draws.listed(class) == 0 || self.classes[class].misses >= LOOK
     }
 
     /// Every engine may have room again: time has passed, or the list has changed.
@@ -855,14 +855,14 @@
         let Some(job) = self.jobs.get(&id) else { return };
         match self.settings.classes[job.class].is_sensitive() {
             true => drop(self.sensitive.insert((job.rank, id))),
-            false => self.queue.push(job.tenant, job.rank, id.0),
+            false => self.classes[job.class].held += usize::from(self.queue.push(job.tenant, job.rank, id.0)),
         };
     }
 
     fn unhold(&mut self, id: RequestId) {
         let Some(job) = self.jobs.get(&id) else { return };
         self.sensitive.remove(&(job.rank, id));
-        self.queue.take(job.tenant, job.rank, id.0);
+        self.classes[job.class].held -= usize::from(self.queue.take(job.tenant, job.rank, id.0));
     }
 
     /// Notes how a request ended in its stream's window.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -203,6 +203,11 @@
         self.signal("-TERM");
     }
 
+    /// Has the configuration and its files read again.
+    pub fn hangup(&self) {
+        self.signal("-HUP");
+    }
+
     /// Writes the configuration anew, with one key changed, and has it read again.
     pub fn reload(&self, key: &str, value: Value) {
         let mut config = self.config.clone();
--- a/tests/hosted.rs
+++ b/tests/hosted.rs
@@ -536,3 +536,91 @@
         "make {path} anew: sanddyke {command} > {path}"
     );
 }
+
+/// The certificate files of a listener, signed by an authority that is made for the test.
+fn certificates(folder: &Folder, name: &str) -> (String, rcgen::Issuer<'static, rcgen::KeyPair>) {
+    let mut authority = rcgen::CertificateParams::new(Vec::new()).unwrap();
+    authority.is_ca = rcgen::IsCa::Ca(rcgen::BasicConstraints::Unconstrained);
+    let key = rcgen::KeyPair::generate().unwrap();
+    let own = authority.self_signed(&key).unwrap();
+    std::fs::write(folder.0.join(format!("{name}-ca.pem")), own.pem()).unwrap();
+    (own.pem(), rcgen::Issuer::new(authority, key))
+}
+
+fn sign(folder: &Folder, issuer: &rcgen::Issuer<'static, rcgen::KeyPair>, name: &str, host: &str) {
+    let key = rcgen::KeyPair::generate().unwrap();
+    let params = rcgen::CertificateParams::new(vec![host.to_owned()]).unwrap();
+    let certificate = params.signed_by(&key, issuer).unwrap();
+    std::fs::write(folder.0.join(format!("{name}.pem")), certificate.pem()).unwrap();
+    std::fs::write(folder.0.join(format!("{name}-key.pem")), key.serialize_pem()).unwrap();
+}
+
+/// The API is encrypted, lets in callers with a certificate only, and takes a new certificate at SIGHUP.
+#[test]
+fn an_encrypted_api_wants_a_certificate_and_reads_its_own_again() {
+    let (engine, folder) = (engines::lines(), Folder::new());
+    let (_, servers) = certificates(&folder, "server");
+    let (_, operators) = certificates(&folder, "operators");
+    let mut config = folder.config();
+    let file = |name: &str| folder.0.join(name);
+    config["admin"] = json!({"certificate": file("api.pem"), "private_key": file("api-key.pem"),
+                             "client_ca": file("operators-ca.pem")});
+    sign(&folder, &operators, "me", "me");
+    // The address is known once the program has started, so the first certificate is for every such address.
+    let addresses: Vec<String> = (1..=254).map(|last| format!("127.0.0.{last}")).collect();
+    let key = rcgen::KeyPair::generate().unwrap();
+    let params = rcgen::CertificateParams::new(addresses).unwrap();
+    std::fs::write(file("api.pem"), params.signed_by(&key, &servers).unwrap().pem()).unwrap();
+    std::fs::write(file("api-key.pem"), key.serialize_pem()).unwrap();
+    let program = start(&[engine.address], config);
+    let client = |identity: bool| {
+        sanddyke_client::Client::new(sanddyke_client::Options {
+            url: format!("https://{}", program.admin),
+            token: TOKEN.to_owned(),
+            ca: Some(file("server-ca.pem")),
+            identity: identity.then(|| (file("me.pem"), file("me-key.pem"))),
+        })
+        .unwrap()
+    };
+    assert!(client(true).get("/v1/self").is_err(), "the certificate is for other addresses");
+    sign(&folder, &servers, "api", &program.admin.ip().to_string());
+    program.hangup();
+    until("the new certificate is used", || client(true).get("/v1/self").is_ok());
+    assert_eq!(client(true).get("/v1/self").unwrap()["id"], "root");
+    assert!(client(false).get("/v1/self").is_err(), "no certificate, no call");
+    let made = client(true).create_tenant("t", &Default::default(), Some("k")).unwrap();
+    assert_eq!(made["name"], "t");
+}
+
+/// The client's pages, updates and problems, against the program.
+#[test]
+fn the_client_goes_through_pages_and_works_out_an_update_anew() {
+    let (engine, folder) = (engines::lines(), Folder::new());
+    let program = start(&[engine.address], folder.config());
+    let options = sanddyke_client::Options {
+        url: format!("http://{}", program.admin),
+        token: TOKEN.to_owned(),
+        ..Default::default()
+    };
+    let client = sanddyke_client::Client::new(options).unwrap();
+    let mut spoilt = false;
+    let updated = client.update("/v1/tenants/acme", |seen| {
+        if !std::mem::replace(&mut spoilt, true) {
+            // Another operator comes between, once.
+            root(&program, "PATCH", "/v1/tenants/acme", json!({"quota_rps": 5.0}));
+        }
+        json!({"weight": seen["weight"].as_f64().unwrap() + 1.0})
+    });
+    let updated = updated.unwrap();
+    assert_eq!(
+        (&updated["weight"], &updated["quota_rps"]),
+        (&json!(2.0), &json!(5.0)),
+        "both changes are there"
+    );
+    let names: Vec<_> = client.tenants("&state=active").map(|row| row.unwrap()["name"].clone()).collect();
+    assert_eq!(names, ["acme"]);
+    match client.get("/v1/tenants/none").unwrap_err() {
+        sanddyke_client::Error::Problem { status: 404, code, .. } => assert_eq!(code, "not_found"),
+        other => panic!("{other}"),
+    }
+}
