Give the rig a name service and engine faults; tell refusals of removed tenants

Need: experiments must drain engines and let them stand still; a client of a removed tenant was told that its name is unknown while its last work ran; two experiments in one process raced for an address; some tests hung on timing.

A removed tenant's name is refused as tenant_removed until its last work has ended. Settings whose tenants the API could not name no longer end the start where there is no store. The storm under SIGKILL goes by counts, spoilt calls by the close of their side.

--- a/crates/rig/src/engine.rs
+++ b/crates/rig/src/engine.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// Time between two looks at what has been done.
 const STEP: Duration = Duration::from_millis(2);
@@ -38,6 +38,14 @@
     pub done_ms: Arc<AtomicU64>,
     /// Requests that it was sent.
     pub taken: Arc<AtomicU64>,
+    speed: watch::Sender<f64>,
+}
+
+impl Engine {
+    /// Changes its speed, 1 as it began; at 0 it stands still and reads nothing.
+    pub fn set_speed(&self, speed: f64) {
+        self.speed.send_replace(speed.max(0.0));
+    }
 }
 
 enum Order {
@@ -67,13 +75,14 @@
     let address = listener.local_addr()?;
     let (done_ms, taken) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
     let (orders, inbox) = mpsc::channel(MOST_WORDS);
-    tokio::spawn(run(spec, inbox, done_ms.clone(), taken.clone()));
+    let speed = watch::Sender::new(1.0);
+    tokio::spawn(run(spec, inbox, done_ms.clone(), taken.clone(), speed.subscribe()));
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             tokio::spawn(connection(stream, orders.clone()));
         }
     });
-    Ok(Engine { address, done_ms, taken })
+    Ok(Engine { address, done_ms, taken, speed })
 }
 
 async fn connection(stream: TcpStream, orders: mpsc::Sender<Order>) -> std::io::Result<()> {
@@ -117,13 +126,19 @@
     Ok(())
 }
 
-async fn run(spec: Spec, mut inbox: mpsc::Receiver<Order>, done: Arc<AtomicU64>, taken: Arc<AtomicU64>) {
+async fn run(
+    spec: Spec,
+    mut inbox: mpsc::Receiver<Order>,
+    done: Arc<AtomicU64>,
+    taken: Arc<AtomicU64>,
+    speeds: watch::Receiver<f64>,
+) {
     let mut queries: HashMap<String, Query> = HashMap::new();
     let mut ticks = tokio::time::interval(STEP);
     let (mut last, mut finished) = (Instant::now(), 0.0);
     loop {
         tokio::select! {
-            order = inbox.recv() => match order {
+            order = inbox.recv(), if *speeds.borrow() > 0.0 => match order {
                 None => return,
                 Some(Order::Request { id, statement, words }) => {
                     taken.fetch_add(1, Ordering::Relaxed);
@@ -148,7 +163,7 @@
                 let threads: f64 = queries.values().map(|query| query.threads).sum();
                 let memory: f64 = queries.values().map(|query| query.memory).sum();
                 let paging = if memory > spec.memory_mb { PAGING_SPEED } else { 1.0 };
-                let speed = (spec.cores / threads.max(1e-9)).min(1.0) * paging;
+                let speed = (spec.cores / threads.max(1e-9)).min(1.0) * paging * *speeds.borrow();
                 queries.retain(|id, query| {
                     query.left -= passed * query.threads * speed;
                     if query.left <= 0.0 {
@@ -157,7 +172,7 @@
                         let _full = query.words.try_send(format!("{id} 200 sheets=1,toil={toil:.1},room={room:.1} 3\r\nok\n\r\n"));
                         return false;
                     }
-                    if now - query.told >= TELL_EVERY {
+                    if speed > 0.0 && now - query.told >= TELL_EVERY {
                         query.told = now;
                         let share = 1.0 - query.left / query.work;
                         let _full = query.words.try_send(format!("{id} status n=share,val={share:.3} 0\r\n\r\n"));
--- a/crates/rig/src/experiment.rs
+++ b/crates/rig/src/experiment.rs
@@ -1,6 +1,8 @@
 //! Experiments as TOML files: engines, classes, tenants with their traffic, and steps on the way.
 
 use crate::RigError;
+use crate::engine::Engine;
+use crate::names::Names;
 use serde::Deserialize;
 use std::path::Path;
 
@@ -108,19 +110,59 @@
     pub factor: f64,
 }
 
-/// A call of the administration API.
+/// Something that is done on the way: a call of the administration API, or a change of an engine.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Step {
     /// When (s).
     pub at_s: f64,
-    /// Its method.
+    /// A call's method.
+    #[serde(default)]
     pub method: String,
     /// Its target.
+    #[serde(default)]
     pub target: String,
     /// Its body.
     #[serde(default)]
     pub body: String,
+    /// A change of an engine; there is no call then.
+    pub engine: Option<EngineChange>,
+}
+
+/// A change of an engine.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineChange {
+    /// Its number, from 0.
+    pub number: usize,
+    /// How the name service lists it.
+    pub listed: Option<Listed>,
+    /// Its speed from now on, 1 as it began; at 0 it stands still and reads nothing.
+    pub speed: Option<f64>,
+}
+
+/// How the name service lists an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Listed {
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+    /// It is not listed.
+    Gone,
+}
+
+impl EngineChange {
+    /// Makes the change.
+    pub fn carry_out(&self, engines: &[Engine], names: &Names) -> Result<(), RigError> {
+        let engine = engines.get(self.number);
+        let engine = engine
+            .ok_or_else(|| RigError::Step("engine".to_owned(), format!("no number {}", self.number)))?;
+        self.listed.into_iter().for_each(|listed| names.list(self.number, listed));
+        self.speed.into_iter().for_each(|speed| engine.set_speed(speed));
+        Ok(())
+    }
 }
 
 fn repeatable() -> String {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -13,12 +13,14 @@
 pub mod client;
 pub mod engine;
 pub mod experiment;
+pub mod names;
 pub mod program;
 pub mod report;
 
 use client::Outcome;
 use engine::Spec;
 use experiment::Experiment;
+use names::Names;
 use program::Program;
 use report::Report;
 use std::path::{Path, PathBuf};
@@ -59,7 +61,8 @@
         engines.push(engine::start(spec).await?);
     }
     let addresses: Vec<_> = engines.iter().map(|engine| engine.address).collect();
-    let program = Program::start(binary, &experiment, &addresses).await?;
+    let names = Names::start(&addresses).await?;
+    let program = Program::start(binary, &experiment, &addresses, names.address).await?;
     let experiment = Arc::new(experiment);
     let (sink, mut outcomes) = mpsc::unbounded_channel();
     let start = Instant::now();
@@ -77,7 +80,10 @@
     let steps = async {
         for step in &experiment.steps {
             tokio::time::sleep_until(start + Duration::from_secs_f64(step.at_s)).await;
-            program.call(&step.method, &step.target, &step.body).await?;
+            match &step.engine {
+                Some(change) => change.carry_out(&engines, &names)?,
+                None => drop(program.call(&step.method, &step.target, &step.body).await?),
+            }
         }
         Ok::<(), RigError>(())
     };
@@ -86,5 +92,6 @@
         .await
         .map_err(|_| RigError::Program("requests were left without an end".to_owned()))?;
     stepped?;
-    Ok(Report::of(&experiment, &all))
+    let taken = engines.iter().map(|engine| engine.taken.load(std::sync::atomic::Ordering::Relaxed));
+    Ok(Report { engines: taken.collect(), ..Report::of(&experiment, &all) })
 }
--- a/crates/rig/src/program.rs
+++ b/crates/rig/src/program.rs
@@ -5,12 +5,14 @@
 use serde_json::{Value, json};
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
 
+static STARTED: AtomicU8 = AtomicU8::new(0);
 const TOKEN: &str = "the-rig-s-own-token-0001";
 /// The program must be ready by then.
 const READY_WITHIN: Duration = Duration::from_secs(10);
@@ -54,10 +56,12 @@
         binary: &Path,
         experiment: &Experiment,
         engines: &[SocketAddr],
+        names: SocketAddr,
     ) -> Result<Program, RigError> {
         let folder = tempfile::tempdir()?;
         let [a, b] = (std::process::id() as u16).to_le_bytes();
-        let own = IpAddr::from([127, 77, a, b]);
+        // No two programs of this process, or of another, race for a port.
+        let own = IpAddr::from([127, 77 + STARTED.fetch_add(1, Ordering::Relaxed) % 100, a, b]);
         let (http, admin) = (SocketAddr::new(own, 8080), SocketAddr::new(own, 8081));
         std::fs::write(folder.path().join("token"), TOKEN)?;
         let endpoints = engines.iter().enumerate().map(|(number, address)| {
@@ -66,7 +70,7 @@
         let pool = json!({"snapshot": true, "endpoints": endpoints.collect::<Vec<_>>()});
         let config = json!({
             "name": "rig", "listen": http.to_string(), "seed": format!("{:x}", experiment.seed),
-            "limits": {"sockets": SOCKETS}, "settings": settings(experiment),
+            "limits": {"sockets": SOCKETS}, "resolver": names.to_string(), "settings": settings(experiment),
             "known": {"rev": 1, "notices": [{"rev": 1, "pool": pool}]},
             "admin": {"listen": admin.to_string(), "token_file": folder.path().join("token")},
             "store": {"path": folder.path().join("state.redb")},
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -54,6 +54,8 @@
     pub rows: Vec<Row>,
     /// Of each second, the work served of each tenant as a part of what the engines can do.
     pub seconds: Vec<Vec<f64>>,
+    /// Requests that each engine was sent.
+    pub engines: Vec<u64>,
     /// Greatest distance of a tenant's part of the service from its share, in points.
     pub worst_points: f64,
 }
@@ -104,7 +106,7 @@
             }
         }
         let worst = rows.iter().map(|row| (row.service - row.share).abs() * 100.0).fold(0.0, f64::max);
-        Report { title: experiment.title.clone(), rows, seconds, worst_points: worst }
+        Report { title: experiment.title.clone(), rows, seconds, engines: Vec::new(), worst_points: worst }
     }
 
     /// The rows as CSV.
--- a/crates/tenancy/src/roster.rs
+++ b/crates/tenancy/src/roster.rs
@@ -95,6 +95,8 @@
     free: Vec<Slot>,
     names: HashMap<String, Slot>,
     ids: HashMap<TenantId, Slot>,
+    /// Names of removed tenants whose last work is ending, and how many of each.
+    leaving: HashMap<String, u32>,
     unknown: u64,
 }
 
@@ -132,19 +134,24 @@
         let slot = self.ids.remove(&id)?;
         let held = self.slots.get_mut(slot)?.as_mut()?;
         held.tenant.state = State::Removed;
-        if self.names.get(&held.tenant.name) == Some(&slot) {
-            self.names.remove(&held.tenant.name);
+        let name = held.tenant.name.clone();
+        if self.names.get(&name) == Some(&slot) {
+            self.names.remove(&name);
         }
+        *self.leaving.entry(name).or_default() += 1;
         self.release(slot)
     }
 
     /// Frees a slot whose tenant is removed and to which nothing refers.
     fn release(&mut self, slot: Slot) -> Option<Slot> {
         let over = |held: &Held| held.tenant.state == State::Removed && held.open == 0 && held.attempts == 0;
-        if !self.slots.get(slot)?.as_ref().is_some_and(over) {
-            return None;
+        let held = self.slots.get_mut(slot)?.take_if(|held| over(held))?;
+        if let Some(count) = self.leaving.get_mut(&held.tenant.name) {
+            *count -= 1;
+            if *count == 0 {
+                self.leaving.remove(&held.tenant.name);
+            }
         }
-        self.slots[slot] = None;
         self.free.push(slot);
         Some(slot)
     }
@@ -178,7 +185,8 @@
     pub fn admit(&mut self, now_us: i64, name: &str, ask: &Ask) -> Result<Slot, Refused> {
         let Some(slot) = self.slot(name) else {
             self.unknown += 1;
-            return Err(Refused::of(Reason::Unknown));
+            let leaving = self.leaving.contains_key(name);
+            return Err(Refused::of(if leaving { Reason::Removed } else { Reason::Unknown }));
         };
         let Some(held) = self.held(slot) else { return Err(Refused::of(Reason::Unknown)) };
         match held.judge(now_us, ask) {
--- a/crates/tenancy/tests/roster.rs
+++ b/crates/tenancy/tests/roster.rs
@@ -166,9 +166,12 @@
     let mut roster = one(Limits::default());
     let old = roster.admit(0, "t1", &ASK).unwrap();
     assert_eq!(roster.remove(TenantId(1)), None);
-    assert_eq!(refusal(&mut roster, 0, &ASK).reason, Reason::Unknown);
+    assert_eq!(refusal(&mut roster, 0, &ASK).reason, Reason::Removed, "while its last work is ending");
     let again = roster.set(&Tenant { name: "t1".to_owned(), ..tenant(2, Limits::default()) });
     assert_ne!(again, old, "what refers to the old one is not the new one's");
     assert_eq!(roster.admit(0, "t1", &ASK), Ok(again));
     assert_eq!(roster.closed(old, 1), Some(old));
+    assert_eq!(roster.remove(TenantId(2)), None);
+    assert_eq!(roster.closed(again, 1), Some(again));
+    assert_eq!(refusal(&mut roster, 0, &ASK).reason, Reason::Unknown, "and unknown from then on");
 }
--- a/src/tenants/mod.rs
+++ b/src/tenants/mod.rs
@@ -203,14 +203,18 @@
             loaded.creations.into_iter().for_each(|creation| state.keep_creation(creation));
             store = Some(Arc::new(opened));
         }
-        if first && !settings.tenants.is_empty() {
-            let plan = state.registry.plan(&settings.changes(&state.registry, false))?;
-            if let Some(store) = &store {
-                let now = clock.unix_ms();
+        let now = clock.unix_ms();
+        match (state.registry.plan(&settings.changes(&state.registry, false)), &store) {
+            _ if !first || settings.tenants.is_empty() => {}
+            (Ok(plan), Some(store)) => {
                 store.commit(&Commit::of(BY_SETTINGS, now, &plan.after, plan.records.clone()))?;
                 log::info!("the store begins with the settings' {} tenants", plan.after.len());
+                state.take_over(plan, BY_SETTINGS, now);
             }
-            state.take_over(plan, BY_SETTINGS, clock.unix_ms());
+            (Ok(plan), None) => drop(state.take_over(plan, BY_SETTINGS, now)),
+            (Err(refusal), Some(_)) => return Err(refusal.into()),
+            // They are served as the settings have them; only the API of tenants can't show them.
+            (Err(refusal), None) => log::warn!("the administration API shows no tenants: {refusal}"),
         }
         state.shares = shares::effective(&state.registry);
         let latest = watch::Sender::new(state.registry.generation());
--- a/tests/hosted.rs
+++ b/tests/hosted.rs
@@ -10,6 +10,7 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
@@ -291,7 +292,8 @@
     let program = start(&[engine.address], folder.config());
     let began = Instant::now();
     let told = std::thread::scope(|scope| {
-        let waiting = scope.spawn(|| root(&program, "GET", "/v1/watch?wait_ms=20000", Value::Null).json());
+        let waiting =
+            scope.spawn(|| root(&program, "GET", "/v1/watch?after=1&wait_ms=20000", Value::Null).json());
         std::thread::sleep(Duration::from_millis(300));
         create(&program, "late", json!({}));
         waiting.join().unwrap()
@@ -329,7 +331,7 @@
     assert_eq!(root(&program, "PATCH", "/v1/tenants/t", json!({"weight": 9.0})).status, 200);
     root(&program, "POST", "/v1/tenants/t/suspend", Value::Null);
     assert_eq!(root(&program, "DELETE", "/v1/tenants/t", Value::Null).status, 200);
-    assert_eq!(ask(&program, "t", 100).status, 400, "the name is nobody's");
+    assert_eq!(ask(&program, "t", 100).json()["reason"], "tenant_removed", "the name is nobody's");
     create(&program, "t", json!({"weight": 2.0}));
     assert_eq!(ask(&program, "t", 101).status, 200, "the new tenant of that name is served at once");
     let told = root(&program, "GET", "/v1/tenants/t", Value::Null).json();
@@ -392,8 +394,10 @@
             }
         }
         let mut stream = TcpStream::connect(program.admin).unwrap();
-        stream.set_read_timeout(Some(Duration::from_millis(60))).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
         let _closed = stream.write_all(&bytes);
+        // Half a request is over with this, whatever its length said.
+        let _closed = stream.shutdown(std::net::Shutdown::Write);
         answered += usize::from(read_reply(&mut stream).is_some_and(|reply| reply.status != 201));
     }
     assert!(answered > 50, "{answered} were answered");
@@ -444,6 +448,8 @@
             acknowledged += 1; // it was on the disk, only its answer was not on its way
         }
         let (address, from) = (program.admin, acknowledged);
+        let count = Arc::new(AtomicUsize::new(from));
+        let counted = count.clone();
         let storm = std::thread::spawn(move || {
             let mut made = from;
             let mut stream = TcpStream::connect(address).unwrap();
@@ -455,17 +461,22 @@
                     request("POST", "/v1/tenants", &[("Authorization", &bearer)], &body).as_bytes(),
                 );
                 match sent.ok().and_then(|()| read_reply(&mut stream)) {
-                    Some(reply) if reply.status == 201 => made += 1,
+                    Some(reply) if reply.status == 201 => {
+                        made += 1;
+                        counted.store(made, Ordering::Relaxed);
+                    }
                     Some(reply) => assert_eq!(reply.status, 429, "{}", reply.body),
                     None => return made,
                 }
             }
         });
-        std::thread::sleep(Duration::from_millis(40 + 37 * round));
+        let wanted = from + 4 + 5 * round as usize;
+        until("the storm is on", || count.load(Ordering::Relaxed) >= wanted);
+        std::thread::sleep(Duration::from_micros(731 * round));
         program.kill();
         acknowledged = storm.join().unwrap();
     }
-    assert!(acknowledged > 20, "{acknowledged} changes in all");
+    assert!(acknowledged >= 90, "{acknowledged} changes in all");
 }
 
 #[test]
