Add a file for traces: format, writer, reader and first tools

Need: operators want to find out why a request was refused or late, and to hand traffic to others without giving their councils away.

Change: crates/trace has blocks in frames with lengths and CRC-32s, LZ4 and protobuf (prost) within, a table of strings a block so that each can be read alone, and an index by time, request and tenant at the end. String numbers stand in fields 16 to 31, so tools copy records and fields of later versions. sanddyke-trace has info, cat, verify, recover, cut by whole stories, anonymise (HMAC under a secret that is kept nowhere), summary, story and generate. No program links it yet.

A file cut at any of 60 places is read to its last whole block; damage in any block costs that block.

--- /dev/null
+++ b/crates/trace/src/generate.rs
@@ -0,0 +1,192 @@
+//! Synthetic traces from a seed: managers whose clocks differ, clients that try again at another manager, keyed
+//! loads that two of them see.
+
+use crate::{
+    Answer, Decision, Ended, Header, Held, Known, Program, Record, Sent, Taken, TraceError, What, Writer,
+};
+use oorandom::Rand64;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::io::Write;
+
+/// What is generated.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Requests of clients, first tries only.
+    pub requests: u64,
+    /// How far each manager's clock is ahead of the true one (us); as many managers.
+    pub skews_us: Vec<i64>,
+    /// Seed of it all.
+    pub seed: u64,
+    /// Tenants.
+    pub tenants: u32,
+}
+
+const CLASSES: [(&str, f64); 3] = [("lookup", 5_000.0), ("report", 400_000.0), ("load", 900_000.0)];
+/// Mean time between two requests (us).
+const EVERY_US: f64 = 1000.0;
+const ENGINES: u64 = 8;
+/// Parts of the attempts that end in each way.
+const REFUSED: f64 = 0.05;
+const LOST: f64 = 0.01;
+const MOST_TRIES: u32 = 3;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Taken,
+    Held,
+    Sent(u32),
+    Ended(u32),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Story {
+    client: u64,
+    class: usize,
+    tenant: u32,
+    client_try: u32,
+    manager: usize,
+    request: u64,
+    engine: u64,
+}
+
+/// Writes one trace a manager.
+pub fn generate<W: Write>(
+    plan: &Plan,
+    mut open: impl FnMut(usize) -> std::io::Result<W>,
+) -> Result<(), TraceError> {
+    let mut rng = Rand64::new(plan.seed.into());
+    let mut writers = Vec::new();
+    for (manager, skew) in plan.skews_us.iter().enumerate() {
+        let header = Header {
+            program: env!("CARGO_PKG_VERSION").to_owned(),
+            manager: format!("m{manager}"),
+            unix_us: 1_700_000_000_000_000 - skew,
+            made_by: vec![format!("generated from seed {}", plan.seed)],
+            ..Header::default()
+        };
+        let mut writer = Writer::new(open(manager)?, header)?;
+        let event = writer.string("start");
+        writer.write(&Record { at_us: *skew, request: 0, what: Some(What::Program(Program { event })) })?;
+        writers.push(writer);
+    }
+    let mut next_request = vec![0u64; writers.len()];
+    let mut due: BinaryHeap<Reverse<(u64, u64, Step, Story)>> = BinaryHeap::new();
+    let (mut clients, mut arrival, mut order) = (0, 0.0, 0);
+    while clients < plan.requests || !due.is_empty() {
+        let now = due.peek().map_or(u64::MAX, |Reverse((at, ..))| *at);
+        if clients < plan.requests && arrival as u64 <= now {
+            clients += 1;
+            let drawn = rng.rand_float();
+            let class = usize::from(drawn > 0.7) + usize::from(drawn > 0.95);
+            // The first tenants ask for more than the last.
+            let tenant = (rng.rand_float().powi(2) * f64::from(plan.tenants)) as u32;
+            let manager = rng.rand_range(0..writers.len() as u64) as usize;
+            let story =
+                Story { client: clients, class, tenant, client_try: 1, manager, request: 0, engine: 0 };
+            order += 1;
+            due.push(Reverse((arrival as u64, order, Step::Taken, story)));
+            arrival += -(1.0 - rng.rand_float()).ln() * EVERY_US;
+            continue;
+        }
+        let Some(Reverse((at, _, step, mut story))) = due.pop() else { break };
+        let manager = story.manager;
+        let (writer, mine) = (&mut writers[manager], at as i64 + plan.skews_us[manager]);
+        let mut later = |after: f64, step: Step, story: Story| {
+            order += 1;
+            due.push(Reverse((at + after.max(1.0) as u64, order, step, story)));
+        };
+        match step {
+            Step::Taken => {
+                next_request[manager] += 1;
+                story.request = next_request[manager];
+                let load = CLASSES[story.class].0 == "load";
+                let taken = Taken {
+                    budget_us: 20_000_000,
+                    statement_bytes: 40 + rng.rand_range(0..400) as u32,
+                    client_try: story.client_try,
+                    class: writer.string(CLASSES[story.class].0),
+                    tenant: writer.string(&format!("council-{}", story.tenant)),
+                    name: writer.string(&format!("c{:x}-{}", story.client, story.client_try)),
+                    key: if load { writer.string(&format!("k{:x}", story.client)) } else { 0 },
+                    front: writer.string("http"),
+                };
+                writer.write(&Record {
+                    at_us: mine,
+                    request: story.request,
+                    what: Some(What::Taken(taken)),
+                })?;
+                let waits = rng.rand_float() < 0.2;
+                later(if waits { 20.0 } else { 50.0 }, if waits { Step::Held } else { Step::Sent(0) }, story);
+            }
+            Step::Held => {
+                let reason = writer.string("no_room");
+                writer.write(&Record {
+                    at_us: mine,
+                    request: story.request,
+                    what: Some(What::Held(Held { reason })),
+                })?;
+                let wait = -(1.0 - rng.rand_float()).ln() * 200_000.0;
+                later(wait, Step::Sent(0), story);
+            }
+            Step::Sent(0) if rng.rand_float() < REFUSED => {
+                let (end, reason) = (writer.string("refused"), writer.string("no_time"));
+                let answer = Answer { retry_after_us: 500_000, bytes: 0, end, reason };
+                writer.write(&Record {
+                    at_us: mine,
+                    request: story.request,
+                    what: Some(What::Answer(answer)),
+                })?;
+                if story.client_try < MOST_TRIES {
+                    story.client_try += 1;
+                    story.manager = rng.rand_range(0..plan.skews_us.len() as u64) as usize;
+                    // The answer travels to the client, and the next try to a manager.
+                    later(500_000.0 + 400.0, Step::Taken, story);
+                }
+            }
+            Step::Sent(attempt) => {
+                story.engine = rng.rand_range(0..ENGINES);
+                let other = (story.engine + 1 + rng.rand_range(0..ENGINES - 1)) % ENGINES;
+                let weight = rng.rand_float() as f32;
+                let mut known = |number: u64, weight: f32| Known {
+                    number,
+                    own: 3,
+                    others: 1.5,
+                    slow: 1.0,
+                    weight,
+                    engine: writer.string(&format!("e{number}")),
+                };
+                let (picked, other) = (Some(known(story.engine, weight)), Some(known(other, weight + 0.1)));
+                let decision = Decision { picked, other, reason: writer.string("lighter") };
+                let request = story.request;
+                writer.write(&Record { at_us: mine, request, what: Some(What::Decision(decision)) })?;
+                let sent = Sent { attempt, engine: writer.string(&format!("e{}", story.engine)) };
+                writer.write(&Record { at_us: mine, request, what: Some(What::Sent(sent)) })?;
+                let took = -(1.0 - rng.rand_float()).ln() * CLASSES[story.class].1;
+                later(took.max(300.0), Step::Ended(attempt), story);
+            }
+            Step::Ended(attempt) => {
+                let lost = rng.rand_float() < LOST;
+                let outcome = writer.string(if lost { "ConnectionLost" } else { "Served" });
+                let engine = writer.string(&format!("e{}", story.engine));
+                let ended = Ended { attempt, work_us: 1000, outcome, engine };
+                let request = story.request;
+                writer.write(&Record { at_us: mine, request, what: Some(What::Ended(ended)) })?;
+                if lost && attempt == 0 {
+                    later(200.0, Step::Sent(1), story);
+                    continue;
+                }
+                let end = writer.string(if lost { "failed" } else { "served" });
+                let answer = Answer { end, bytes: 900, ..Answer::default() };
+                writer.write(&Record { at_us: mine + 10, request, what: Some(What::Answer(answer)) })?;
+            }
+        }
+    }
+    for (mut writer, skew) in writers.into_iter().zip(&plan.skews_us) {
+        let event = writer.string("stop");
+        let at_us = arrival as i64 + 60_000_000 + skew;
+        writer.write(&Record { at_us, request: 0, what: Some(What::Program(Program { event })) })?;
+        writer.finish()?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/trace/tests/format.rs
@@ -0,0 +1,248 @@
+//! The format against what it promises: what is written reads back, what is damaged costs no more than its blocks,
+//! and what is not known goes along.
+
+use proptest::prelude::*;
+use sanddyke_trace::generate::{Plan, generate};
+use sanddyke_trace::tools::{self, Filter};
+use sanddyke_trace::{Header, Reader, Record, Sent, Taken, TraceError, What, Writer, remap};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::Cursor;
+use std::sync::{Arc, Mutex};
+
+#[derive(Clone, Default)]
+struct Shared(Arc<Mutex<Vec<u8>>>);
+
+impl std::io::Write for Shared {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().unwrap().extend(bytes);
+        Ok(bytes.len())
+    }
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Traces of some requests, one a manager.
+fn traces(requests: u64, managers: usize) -> Vec<Vec<u8>> {
+    let files: Vec<Shared> = (0..managers).map(|_| Shared::default()).collect();
+    let plan = Plan { requests, skews_us: vec![0; managers], seed: 5, tenants: 7 };
+    generate(&plan, |manager| Ok(files[manager].clone())).unwrap();
+    files.into_iter().map(|file| file.0.lock().unwrap().clone()).collect()
+}
+
+fn open(file: &[u8]) -> Reader<Cursor<Vec<u8>>> {
+    Reader::new(Cursor::new(file.to_vec())).unwrap()
+}
+
+/// All records in words, and the faults.
+fn told(file: &[u8]) -> (Vec<(i64, u64, String)>, usize) {
+    let mut reader = open(file);
+    let all = reader
+        .by_ref()
+        .map(|entry| entry.unwrap())
+        .map(|entry| (entry.record.at_us, entry.record.request, tools::words(&entry)))
+        .collect();
+    (all, reader.faults().len())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// What is written reads back the same, over any number of blocks.
+    #[test]
+    fn what_is_written_reads_back(records in prop::collection::vec((any::<i64>(), any::<u64>(), "[a-z]{0,9}", 0u32..9), 0..400),
+                                  flush in 1usize..50) {
+        let mut file = Vec::new();
+        let mut writer = Writer::new(&mut file, Header { manager: "m".into(), ..Header::default() }).unwrap();
+        for (number, (at_us, request, name, attempt)) in records.iter().enumerate() {
+            let engine = writer.string(name);
+            let what = Some(What::Sent(Sent { attempt: *attempt, engine }));
+            writer.write(&Record { at_us: *at_us, request: *request, what }).unwrap();
+            if number % flush == 0 {
+                writer.flush().unwrap();
+            }
+        }
+        writer.finish().unwrap();
+        let mut reader = open(&file);
+        for (at_us, request, name, attempt) in &records {
+            let entry = reader.next().unwrap().unwrap();
+            let Some(What::Sent(sent)) = &entry.record.what else { panic!("{entry:?}") };
+            prop_assert_eq!((entry.record.at_us, entry.record.request, sent.attempt), (*at_us, *request, *attempt));
+            prop_assert_eq!(entry.string(sent.engine), name);
+        }
+        prop_assert!(reader.next().is_none());
+        prop_assert!(reader.faults().is_empty() && reader.index().is_some());
+        prop_assert!(tools::verify(&mut open(&file)).unwrap().is_empty());
+    }
+
+    /// Any bytes are read without a panic, and without an endless search.
+    #[test]
+    fn any_bytes_are_read_to_an_end(bytes in prop::collection::vec(any::<u8>(), 0..3000), marks in prop::collection::vec(0usize..3000, 0..5)) {
+        let mut file = sanddyke_trace::MAGIC.to_vec();
+        file.extend(bytes);
+        for at in marks {
+            let at = at.min(file.len());
+            file.splice(at..at, [0xd7, b'S', b'D', 0xb1]);
+        }
+        file[..8].copy_from_slice(&sanddyke_trace::MAGIC);
+        let mut reader = open(&file);
+        prop_assert!(reader.by_ref().all(|entry| entry.is_ok()));
+        prop_assert!(remap(&file[8..], &mut |number| number).is_none_or(|copy| copy.len() <= 2 * file.len()));
+    }
+}
+
+/// A file cut anywhere is read up to its last whole block, and the tool says what is missing.
+#[test]
+fn a_file_cut_short_is_read_up_to_its_last_whole_block() {
+    let file = &traces(3000, 1)[0];
+    let whole = told(file).0;
+    let index = open(file).seek_index().unwrap().unwrap();
+    assert!(index.blocks.len() > 3, "{} blocks", index.blocks.len());
+    let mut cuts: Vec<usize> = (0..60).map(|part| file.len() * part / 60).collect();
+    cuts.extend(index.blocks.iter().flat_map(|block| [block.offset as usize, block.offset as usize + 1]));
+    for cut in cuts.into_iter().filter(|cut| *cut >= 200) {
+        let (read, faults) = told(&file[..cut]);
+        let ends = index.blocks.iter().skip(1).map(|block| block.offset as usize);
+        let before = ends.filter(|end| *end <= cut).count();
+        let expected: u64 = index.blocks.iter().take(before).map(|block| block.records).sum();
+        let least = usize::try_from(expected).unwrap();
+        assert!(
+            read.len() >= least && read[..] == whole[..read.len()],
+            "cut at {cut}: {} of {least}",
+            read.len()
+        );
+        assert!(faults <= 1, "cut at {cut}");
+        let mut mended = Vec::new();
+        tools::recover(&mut open(&file[..cut]), &mut mended).unwrap();
+        assert!(tools::verify(&mut open(&mended)).unwrap().is_empty(), "cut at {cut}");
+        assert_eq!(told(&mended).0, read, "cut at {cut}");
+    }
+}
+
+/// Damage anywhere costs the blocks that it hits and no others.
+#[test]
+fn damage_costs_the_blocks_that_it_hits() {
+    let file = &traces(3000, 1)[0];
+    let whole = told(file).0;
+    let index = open(file).seek_index().unwrap().unwrap();
+    for (number, block) in index.blocks.iter().enumerate() {
+        for at in [0, 5, 13, 17, 30, 400] {
+            let mut bad = file.clone();
+            bad[block.offset as usize + at] ^= 0x10;
+            let (read, faults) = told(&bad);
+            assert_eq!(faults, 1, "block {number}, byte {at}");
+            assert_eq!(read.len() as u64, whole.len() as u64 - block.records, "block {number}, byte {at}");
+            assert!(!tools::verify(&mut open(&bad)).unwrap().is_empty());
+        }
+    }
+    let mut none = file.clone();
+    none[0] ^= 1;
+    assert!(matches!(Reader::new(Cursor::new(none)).unwrap_err(), TraceError::NoTrace));
+}
+
+/// A record of a kind that this version does not know, and fields that it does not know, go along with their
+/// strings wherever records are copied.
+#[test]
+fn what_is_not_known_goes_along() {
+    let mut file = Vec::new();
+    let mut writer = Writer::new(&mut file, Header::default()).unwrap();
+    let word = writer.string("a word of a later version");
+    // Field 40 of the record: a message with the string in field 16, and a number in field 7.
+    let later = |string: u8| vec![0x08, 0x02, 0x10, 0x05, 0xc2, 0x02, 0x05, 0x38, 0x2a, 0x80, 0x01, string];
+    let record = Record { at_us: 1, request: 5, what: None };
+    writer.copy(&record, &later(word as u8), |_| "a word of a later version".to_owned()).unwrap();
+    writer.finish().unwrap();
+    let mut copy = Vec::new();
+    let mut other = Writer::new(&mut copy, Header::default()).unwrap();
+    other.string("another word first");
+    for entry in open(&file) {
+        let entry = entry.unwrap();
+        other.copy(&entry.record, &entry.bytes, |number| entry.string(number).to_owned()).unwrap();
+    }
+    other.finish().unwrap();
+    let entry = open(&copy).next().unwrap().unwrap();
+    assert_eq!(entry.bytes, later(2), "the same bytes, with the string's new number");
+    assert_eq!(entry.string(2), "a word of a later version");
+    assert_eq!(entry.record.request, 5);
+}
+
+/// A cut has whole stories and no others; the parts by tenant are the whole; counts agree between tools.
+#[test]
+fn tools_agree_with_each_other() {
+    let file = &traces(4000, 1)[0];
+    let whole = tools::summary(&mut open(file)).unwrap();
+    let info = tools::info(&mut open(file)).unwrap();
+    let taken: u64 = whole.rows.iter().map(|row| row.taken).sum();
+    assert_eq!(info.kinds[&3], taken);
+    assert_eq!(whole.unfinished, 0);
+    let tenants: BTreeSet<String> = whole.rows.iter().map(|row| row.tenant.clone()).collect();
+    let mut parts = Vec::new();
+    for tenant in &tenants {
+        let filter =
+            Filter { tenant: Some(tenant.clone()), from_us: Some(0), until_us: Some(0), ..Filter::default() };
+        let filter = Filter { from_us: None, until_us: None, ..filter };
+        let wanted = tools::select(&mut open(file), &filter).unwrap();
+        let mut part = Vec::new();
+        tools::cut(&mut open(file), &wanted, &filter, &mut part).unwrap();
+        assert!(tools::verify(&mut open(&part)).unwrap().is_empty());
+        let counted = tools::summary(&mut open(&part)).unwrap();
+        assert!(counted.rows.iter().all(|row| row.tenant == *tenant) && counted.unfinished == 0);
+        parts.extend(counted.rows);
+    }
+    assert_eq!(parts, whole.rows);
+    let filter = Filter { end: Some("refused".to_owned()), ..Filter::default() };
+    let refused = tools::select(&mut open(file), &filter).unwrap();
+    let counted: u64 = whole.rows.iter().filter_map(|row| row.ends.get("refused")).sum();
+    assert_eq!(refused.len(), counted);
+    let service: f64 = whole.service.values().map(|(_, part)| part).sum();
+    assert!((service - 1.0).abs() < 1e-9);
+}
+
+/// Nothing of a name is left, the same name is the same within a file, and the counts stay.
+#[test]
+fn an_anonymous_copy_holds_no_names() {
+    let file = &traces(1500, 1)[0];
+    let mut copy = Vec::new();
+    tools::anonymise(&mut open(file), &[7; 32], &mut copy).unwrap();
+    let mut seen = BTreeMap::new();
+    for (one, other) in open(file).zip(open(&copy)) {
+        let (one, other) = (one.unwrap(), other.unwrap());
+        if let (Some(What::Taken(one_taken)), Some(What::Taken(other_taken))) =
+            (&one.record.what, &other.record.what)
+        {
+            let (name, hidden) = (one.string(one_taken.tenant), other.string(other_taken.tenant));
+            assert_eq!(seen.entry(name.to_owned()).or_insert(hidden.to_owned()), hidden);
+            assert_eq!(one.string(one_taken.class), other.string(other_taken.class));
+        }
+        for text in other.strings.all() {
+            assert!(!text.contains("council") && !text.starts_with('c') && !text.starts_with('k'), "{text}");
+        }
+    }
+    assert_eq!(seen.len(), 7);
+    assert_eq!(seen.values().collect::<BTreeSet<_>>().len(), 7);
+    let reader = open(&copy);
+    assert_eq!((reader.header().manager.as_str(), reader.header().unix_us), ("anonymous", 0));
+    let counts = |file: &[u8]| tools::info(&mut open(file)).unwrap().kinds;
+    assert_eq!(counts(file), counts(&copy));
+    let mut again = Vec::new();
+    tools::anonymise(&mut open(file), &[8; 32], &mut again).unwrap();
+    let tenant = |file: &[u8]| tools::summary(&mut open(file)).unwrap().rows[0].tenant.clone();
+    assert_ne!(tenant(&copy), tenant(&again), "another secret, other names");
+}
+
+/// A story is told in order, from its taking to its answer.
+#[test]
+fn each_story_runs_from_its_taking_to_its_answer() {
+    let file = &traces(500, 1)[0];
+    let mut stories: BTreeMap<u64, Vec<String>> = BTreeMap::new();
+    for (_, request, words) in told(file).0.into_iter().filter(|(_, request, _)| *request > 0) {
+        stories.entry(request).or_default().push(words);
+    }
+    assert!(stories.len() >= 500);
+    for (request, story) in stories {
+        let (first, last) = (story.first().unwrap(), story.last().unwrap());
+        assert!(first.starts_with("taken: ") && last.starts_with("answered: "), "{request}: {story:?}");
+    }
+    let taken = Taken { class: 1, ..Taken::default() };
+    assert_eq!(Record { at_us: 0, request: 1, what: Some(What::Taken(taken)) }.kind(), 3);
+}
