Merge traces of managers whose clocks differ, by what must have come in order

Need: a request's tries go through several managers, and their clocks differ by a millisecond or two; merged stories must stand in order all the same.

Change: each pair of an answer and the next try of its key bounds the difference of two clocks; the tightest bounds are shortest paths, and each offset is the middle of its own. A merged file keeps each record's own time and manager and is taken apart before it is merged again, so the order of the files does not matter.

Merging in other orders, and of merged files, gives the same bytes.

--- a/crates/trace/src/generate.rs
+++ b/crates/trace/src/generate.rs
@@ -67,7 +67,12 @@
         };
         let mut writer = Writer::new(open(manager)?, header)?;
         let event = writer.string("start");
-        writer.write(&Record { at_us: *skew, request: 0, what: Some(What::Program(Program { event })) })?;
+        writer.write(&Record {
+            at_us: *skew,
+            request: 0,
+            manager: 0,
+            what: Some(What::Program(Program { event })),
+        })?;
         writers.push(writer);
     }
     let mut next_request = vec![0u64; writers.len()];
@@ -114,6 +119,7 @@
                 writer.write(&Record {
                     at_us: mine,
                     request: story.request,
+                    manager: 0,
                     what: Some(What::Taken(taken)),
                 })?;
                 let waits = rng.rand_float() < 0.2;
@@ -124,6 +130,7 @@
                 writer.write(&Record {
                     at_us: mine,
                     request: story.request,
+                    manager: 0,
                     what: Some(What::Held(Held { reason })),
                 })?;
                 let wait = -(1.0 - rng.rand_float()).ln() * 200_000.0;
@@ -131,17 +138,21 @@
             }
             Step::Sent(0) if rng.rand_float() < REFUSED => {
                 let (end, reason) = (writer.string("refused"), writer.string("no_time"));
-                let answer = Answer { retry_after_us: 500_000, bytes: 0, end, reason };
+                // Half of them may come back at once.
+                let wait = if rng.rand_float() < 0.5 { 0.0 } else { 500_000.0 };
+                let answer = Answer { retry_after_us: wait as u64, bytes: 0, end, reason };
                 writer.write(&Record {
                     at_us: mine,
                     request: story.request,
+                    manager: 0,
                     what: Some(What::Answer(answer)),
                 })?;
                 if story.client_try < MOST_TRIES {
                     story.client_try += 1;
                     story.manager = rng.rand_range(0..plan.skews_us.len() as u64) as usize;
                     // The answer travels to the client, and the next try to a manager.
-                    later(500_000.0 + 400.0, Step::Taken, story);
+                    let way = 300.0 - (1.0 - rng.rand_float()).ln() * 300.0;
+                    later(wait + way, Step::Taken, story);
                 }
             }
             Step::Sent(attempt) => {
@@ -159,9 +170,14 @@
                 let (picked, other) = (Some(known(story.engine, weight)), Some(known(other, weight + 0.1)));
                 let decision = Decision { picked, other, reason: writer.string("lighter") };
                 let request = story.request;
-                writer.write(&Record { at_us: mine, request, what: Some(What::Decision(decision)) })?;
+                writer.write(&Record {
+                    at_us: mine,
+                    request,
+                    manager: 0,
+                    what: Some(What::Decision(decision)),
+                })?;
                 let sent = Sent { attempt, engine: writer.string(&format!("e{}", story.engine)) };
-                writer.write(&Record { at_us: mine, request, what: Some(What::Sent(sent)) })?;
+                writer.write(&Record { at_us: mine, request, manager: 0, what: Some(What::Sent(sent)) })?;
                 let took = -(1.0 - rng.rand_float()).ln() * CLASSES[story.class].1;
                 later(took.max(300.0), Step::Ended(attempt), story);
             }
@@ -171,21 +187,31 @@
                 let engine = writer.string(&format!("e{}", story.engine));
                 let ended = Ended { attempt, work_us: 1000, outcome, engine };
                 let request = story.request;
-                writer.write(&Record { at_us: mine, request, what: Some(What::Ended(ended)) })?;
+                writer.write(&Record { at_us: mine, request, manager: 0, what: Some(What::Ended(ended)) })?;
                 if lost && attempt == 0 {
                     later(200.0, Step::Sent(1), story);
                     continue;
                 }
                 let end = writer.string(if lost { "failed" } else { "served" });
                 let answer = Answer { end, bytes: 900, ..Answer::default() };
-                writer.write(&Record { at_us: mine + 10, request, what: Some(What::Answer(answer)) })?;
+                writer.write(&Record {
+                    at_us: mine,
+                    request,
+                    manager: 0,
+                    what: Some(What::Answer(answer)),
+                })?;
             }
         }
     }
     for (mut writer, skew) in writers.into_iter().zip(&plan.skews_us) {
         let event = writer.string("stop");
         let at_us = arrival as i64 + 60_000_000 + skew;
-        writer.write(&Record { at_us, request: 0, what: Some(What::Program(Program { event })) })?;
+        writer.write(&Record {
+            at_us,
+            request: 0,
+            manager: 0,
+            what: Some(What::Program(Program { event })),
+        })?;
         writer.finish()?;
     }
     Ok(())
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -18,7 +18,7 @@
 //! let mut writer = Writer::new(&mut file, Header { manager: "m1".into(), ..Header::default() }).unwrap();
 //! let class = writer.string("report");
 //! let what = What::Taken(Taken { class, ..Taken::default() });
-//! writer.write(&Record { at_us: 5, request: 1, what: Some(what) }).unwrap();
+//! writer.write(&Record { at_us: 5, request: 1, manager: 0, what: Some(what) }).unwrap();
 //! writer.finish().unwrap();
 //! let mut reader = Reader::new(std::io::Cursor::new(file)).unwrap();
 //! let entry = reader.next().unwrap().unwrap();
@@ -28,8 +28,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod clocks;
 mod frame;
 pub mod generate;
+pub mod merge;
 mod reader;
 mod record;
 mod strings;
--- a/crates/trace/src/main.rs
+++ b/crates/trace/src/main.rs
@@ -3,6 +3,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use sanddyke_trace::generate::{Plan, generate};
+use sanddyke_trace::merge::{MergeError, merge};
 use sanddyke_trace::tools::{self, Filter, Summary};
 use sanddyke_trace::{Reader, TraceError};
 use serde_json::json;
@@ -13,7 +14,7 @@
 use thiserror::Error;
 
 const CODES: &str = "Exit codes: 0 done; 1 output can't be written; 2 the command line is wrong; 3 the file can't be \
-read; 4 the file is damaged, and what could be read was; 5 no such request.\n\nExamples:\n  \
+read; 4 the file is damaged, and what could be read was; 5 no such request; 6 the files can't be merged.\n\nExamples:\n  \
 sanddyke-trace info m1.trace\n  sanddyke-trace cut m1.trace --tenant glannau --end refused --out part.trace\n  \
 sanddyke-trace story m1.trace 4711\n  sanddyke-trace generate --requests 100000 --managers 3 --skew-ms 2 --out-dir traces";
 
@@ -71,6 +72,15 @@
         #[arg(long)]
         out: PathBuf,
     },
+    /// Merge traces of several managers into one, by what must have come in order at two of them.
+    Merge {
+        /// The traces; merged ones among them are taken apart first.
+        #[arg(required = true, num_args = 2..)]
+        files: Vec<PathBuf>,
+        /// Where the merged one is written.
+        #[arg(long)]
+        out: PathBuf,
+    },
     /// Count: ends, reasons, attempts, percentiles, service against share.
     Summary {
         /// The trace.
@@ -136,6 +146,8 @@
     Write(PathBuf, TraceError),
     #[error("{0}")]
     Output(#[from] std::io::Error),
+    #[error("not merged: {0}")]
+    Merge(MergeError),
     #[error("no request {0}")]
     NoRequest(u64),
     #[error("{0} parts of the file can't be read")]
@@ -149,6 +161,7 @@
             Failed::Read(..) => 3,
             Failed::Damaged(_) => 4,
             Failed::NoRequest(_) => 5,
+            Failed::Merge(_) => 6,
         }
     }
 }
@@ -284,6 +297,26 @@
             writeln!(out, "{copied} records")?;
             faults(&reader)
         }
+        Command::Merge { files, out: to } => {
+            let part = to.with_extension("part");
+            let written = File::create(&part)?;
+            let read = |number: usize| -> Result<In, TraceError> {
+                Reader::new(BufReader::new(File::open(&files[number])?))
+            };
+            let merged = merge(files.len(), read, BufWriter::new(written)).map_err(Failed::Merge)?;
+            std::fs::rename(&part, to)?;
+            match json {
+                true => writeln!(out, "{:#}", json!(merged))?,
+                false => {
+                    for offset in &merged.offsets {
+                        let (name, ahead, within) = (&offset.manager, offset.ahead_us, offset.within_us);
+                        writeln!(out, "{name}: {ahead} us ahead, within {within} us")?;
+                    }
+                    writeln!(out, "{} ties, {} records", merged.ties, merged.records)?;
+                }
+            }
+            Ok(())
+        }
         Command::Summary { file } => {
             let mut reader = open(file)?;
             let summary = tools::summary(&mut reader).map_err(|error| Failed::Read(file.clone(), error))?;
--- a/crates/trace/src/record.rs
+++ b/crates/trace/src/record.rs
@@ -24,6 +24,26 @@
     /// What made this file of others, one line a step.
     #[prost(string, repeated, tag = "6")]
     pub made_by: Vec<String>,
+    /// The managers, by number from 1, where the file was merged of several.
+    #[prost(message, repeated, tag = "7")]
+    pub managers: Vec<Manager>,
+}
+
+/// A manager of a merged file.
+#[derive(Clone, PartialEq, Message)]
+pub struct Manager {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Unix time (us) at its clock's 0.
+    #[prost(sint64, tag = "2")]
+    pub unix_us: i64,
+    /// How far its clock is ahead of the first one's (us), as it was estimated.
+    #[prost(sint64, tag = "3")]
+    pub offset_us: i64,
+    /// The true value lies no further off than this (us).
+    #[prost(sint64, tag = "4")]
+    pub within_us: i64,
 }
 
 /// One thing that happened.
@@ -35,6 +55,9 @@
     /// The request that it is about, 0 for none.
     #[prost(uint64, tag = "2")]
     pub request: u64,
+    /// The number of its manager in a merged file, 0 in others.
+    #[prost(uint32, tag = "14")]
+    pub manager: u32,
     /// What.
     #[prost(oneof = "What", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub what: Option<What>,
--- a/crates/trace/src/strings.rs
+++ b/crates/trace/src/strings.rs
@@ -62,6 +62,34 @@
     message(record, change, 0)
 }
 
+/// Copies a record's bytes with another manager's number (field 14), 0 for none.
+pub fn with_manager(record: &[u8], manager: u32) -> Option<Vec<u8>> {
+    const MANAGER: u32 = 14;
+    let (mut bytes, mut out) = (record, Vec::with_capacity(record.len() + 3));
+    while !bytes.is_empty() {
+        let before = bytes;
+        let (field, kind) = decode_key(&mut bytes).ok()?;
+        match kind {
+            WireType::Varint => drop(decode_varint(&mut bytes).ok()?),
+            WireType::SixtyFourBit => drop(take(&mut bytes, 8)?),
+            WireType::ThirtyTwoBit => drop(take(&mut bytes, 4)?),
+            WireType::LengthDelimited => {
+                let length = usize::try_from(decode_varint(&mut bytes).ok()?).ok()?;
+                take(&mut bytes, length)?;
+            }
+            WireType::StartGroup | WireType::EndGroup => return None,
+        }
+        if field != MANAGER {
+            out.extend(&before[..before.len() - bytes.len()]);
+        }
+    }
+    if manager > 0 {
+        encode_key(MANAGER, WireType::Varint, &mut out);
+        encode_varint(manager.into(), &mut out);
+    }
+    Some(out)
+}
+
 fn message(mut bytes: &[u8], change: &mut impl FnMut(u32) -> u32, depth: u32) -> Option<Vec<u8>> {
     let mut out = Vec::with_capacity(bytes.len() + 8);
     while !bytes.is_empty() {
--- a/crates/trace/src/tools.rs
+++ b/crates/trace/src/tools.rs
@@ -195,12 +195,12 @@
     for entry in reader.by_ref() {
         let entry = entry?;
         if filter.taken(&entry) {
-            taken.insert(entry.record.request);
+            taken.insert(entry.record.key());
         }
         if let (Some(What::Answer(answer)), Some(end)) = (&entry.record.what, &filter.end)
             && entry.string(answer.end) == end
         {
-            ended.insert(entry.record.request);
+            ended.insert(entry.record.key());
         }
     }
     Ok(if filter.end.is_some() { taken & ended } else { taken })
@@ -219,7 +219,7 @@
     };
     copy_all(reader, out, step, |entry| match entry.record.request {
         0 => in_time(entry.record.at_us),
-        request => wanted.contains(request),
+        _ => wanted.contains(entry.record.key()),
     })
 }
 
@@ -232,11 +232,14 @@
     out: W,
 ) -> Result<u64, TraceError> {
     // The manager, its version and times of day tell who it was; so do the steps that made the file.
-    let header = Header {
-        manager: "anonymous".to_owned(),
-        made_by: vec!["anonymise".to_owned()],
-        ..Header::default()
+    let number = |(number, manager): (usize, crate::Manager)| crate::Manager {
+        name: format!("anonymous-{number}"),
+        unix_us: 0,
+        ..manager
     };
+    let managers = reader.header().managers.clone().into_iter().enumerate().map(number).collect();
+    let (manager, made_by) = ("anonymous".to_owned(), vec!["anonymise".to_owned()]);
+    let header = Header { manager, made_by, managers, ..Header::default() };
     let mut writer = Writer::new(out, header)?;
     let vocabulary: HashSet<&str> = VOCABULARY.iter().copied().collect();
     let mut classes: HashSet<String> = HashSet::new();
@@ -343,22 +346,22 @@
                     cut_short += open.len() as u64;
                     open.clear();
                 }
-                open.insert(record.request, Open { row: number, taken_us: record.at_us, work_us: 0 });
+                open.insert(record.key(), Open { row: number, taken_us: record.at_us, work_us: 0 });
             }
             Some(What::Sent(_)) => {
-                if let Some(story) = open.get(&record.request) {
+                if let Some(story) = open.get(&record.key()) {
                     rows[story.row].row.attempts += 1;
                 }
             }
             Some(What::Ended(ended)) => {
                 let of = engines.entry(text(ended.engine)).or_default();
                 *of.entry(text(ended.outcome)).or_default() += 1;
-                if let Some(story) = open.get_mut(&record.request) {
+                if let Some(story) = open.get_mut(&record.key()) {
                     story.work_us = ended.work_us;
                 }
             }
             Some(What::Answer(answer)) => {
-                let Some(story) = open.remove(&record.request) else { continue };
+                let Some(story) = open.remove(&record.key()) else { continue };
                 let counted = &mut rows[story.row];
                 let end = text(answer.end);
                 if end == "served" {
--- a/crates/trace/src/writer.rs
+++ b/crates/trace/src/writer.rs
@@ -1,6 +1,7 @@
 //! Writes a trace, block by block.
 
 use crate::frame::{self, FORM, Kind, MAGIC};
+use crate::strings::with_manager;
 use crate::{Block, Header, Index, Indexed, Record, Strings, TraceError, What, remap};
 use prost::Message;
 use std::collections::{BTreeMap, BTreeSet};
@@ -69,6 +70,18 @@
         self.add(&known, copied)
     }
 
+    /// Copies a record of a manager that has this number in the file that is written.
+    pub fn copy_as(
+        &mut self,
+        record: &Record,
+        bytes: &[u8],
+        manager: u32,
+        name: impl FnMut(u32) -> String,
+    ) -> Result<(), TraceError> {
+        let bytes = with_manager(bytes, manager).ok_or(TraceError::TooLarge(bytes.len()))?;
+        self.copy(record, &bytes, name)
+    }
+
     fn add(&mut self, record: &Record, bytes: Vec<u8>) -> Result<(), TraceError> {
         if bytes.len() > frame::LONGEST / 2 {
             return Err(TraceError::TooLarge(bytes.len()));
@@ -78,7 +91,7 @@
         indexed.first_us = if first { record.at_us } else { indexed.first_us.min(record.at_us) };
         indexed.last_us = if first { record.at_us } else { indexed.last_us.max(record.at_us) };
         if record.request > 0 {
-            self.requests.insert(record.request);
+            self.requests.insert(record.key());
         }
         let tenant = match &record.what {
             Some(What::Taken(taken)) => taken.tenant,
@@ -135,6 +148,12 @@
 }
 
 impl Record {
+    /// A number for its request that no other has in the file, also where that was merged: the manager's number
+    /// in the upper 16 bits.
+    pub fn key(&self) -> u64 {
+        u64::from(self.manager) << 48 | self.request
+    }
+
     /// The number of the field that says what happened; 0 for a kind that is not known.
     pub fn kind(&self) -> usize {
         match &self.what {
--- a/crates/trace/tests/format.rs
+++ b/crates/trace/tests/format.rs
@@ -57,7 +57,7 @@
         for (number, (at_us, request, name, attempt)) in records.iter().enumerate() {
             let engine = writer.string(name);
             let what = Some(What::Sent(Sent { attempt: *attempt, engine }));
-            writer.write(&Record { at_us: *at_us, request: *request, what }).unwrap();
+            writer.write(&Record { at_us: *at_us, request: *request, manager: 0, what }).unwrap();
             if number % flush == 0 {
                 writer.flush().unwrap();
             }
@@ -149,7 +149,7 @@
     let word = writer.string("a word of a later version");
     // Field 40 of the record: a message with the string in field 16, and a number in field 7.
     let later = |string: u8| vec![0x08, 0x02, 0x10, 0x05, 0xc2, 0x02, 0x05, 0x38, 0x2a, 0x80, 0x01, string];
-    let record = Record { at_us: 1, request: 5, what: None };
+    let record = Record { at_us: 1, request: 5, manager: 0, what: None };
     writer.copy(&record, &later(word as u8), |_| "a word of a later version".to_owned()).unwrap();
     writer.finish().unwrap();
     let mut copy = Vec::new();
@@ -244,5 +244,76 @@
         assert!(first.starts_with("taken: ") && last.starts_with("answered: "), "{request}: {story:?}");
     }
     let taken = Taken { class: 1, ..Taken::default() };
-    assert_eq!(Record { at_us: 0, request: 1, what: Some(What::Taken(taken)) }.kind(), 3);
+    assert_eq!(Record { at_us: 0, request: 1, manager: 0, what: Some(What::Taken(taken)) }.kind(), 3);
+}
+
+fn skewed(skews: &[i64], requests: u64) -> Vec<Vec<u8>> {
+    let files: Vec<Shared> = skews.iter().map(|_| Shared::default()).collect();
+    let plan = Plan { requests, skews_us: skews.to_vec(), seed: 9, tenants: 5 };
+    generate(&plan, |manager| Ok(files[manager].clone())).unwrap();
+    files.into_iter().map(|file| file.0.lock().unwrap().clone()).collect()
+}
+
+fn merged(files: &[&Vec<u8>]) -> (Vec<u8>, sanddyke_trace::merge::Merged) {
+    let mut out = Vec::new();
+    let told = sanddyke_trace::merge::merge(files.len(), |number| Ok(open(files[number])), &mut out).unwrap();
+    (out, told)
+}
+
+/// Three managers whose clocks differ by some ms: the true offsets lie within what is told, a client's tries stand in
+/// order, each manager's records too, and nothing is lost.
+#[test]
+fn merged_stories_stand_in_order() {
+    let skews = [0, 1_700, -2_300];
+    let files = skewed(&skews, 20_000);
+    let (file, told) = merged(&files.iter().collect::<Vec<_>>());
+    for (offset, skew) in told.offsets.iter().zip(skews) {
+        assert!((offset.ahead_us - skew).abs() <= offset.within_us, "{offset:?}, in truth {skew}");
+        assert!(offset.within_us < 1_500, "{offset:?} of {} ties", told.ties);
+    }
+    let records: u64 = files.iter().map(|file| tools::info(&mut open(file)).unwrap().records).sum();
+    assert_eq!(told.records, records);
+    let (mut last, mut tries, mut open_keys) = ([i64::MIN; 4], BTreeMap::new(), BTreeMap::new());
+    for entry in open(&file) {
+        let entry = entry.unwrap();
+        let at = &mut last[entry.record.manager as usize];
+        assert!(entry.record.at_us >= *at, "each manager's own order stays");
+        *at = entry.record.at_us;
+        match &entry.record.what {
+            Some(What::Taken(taken)) if taken.key > 0 => {
+                let key = entry.string(taken.key).to_owned();
+                let before = tries.insert(key.clone(), taken.client_try).unwrap_or(0);
+                assert_eq!(before + 1, taken.client_try, "{key}: a try before the one that it follows");
+                open_keys.insert(entry.record.key(), key);
+            }
+            Some(What::Answer(_)) => drop(open_keys.remove(&entry.record.key())),
+            _ => {}
+        }
+    }
+    assert!(open_keys.is_empty());
+}
+
+/// Merging is the same in any order of the files, and whichever are merged first.
+#[test]
+fn merging_is_the_same_in_any_order() {
+    let files = skewed(&[0, 900, -1_400], 6_000);
+    let [a, b, c] = &files[..] else { panic!() };
+    let all = merged(&[a, b, c]).0;
+    assert!(merged(&[c, a, b]).0 == all);
+    assert!(merged(&[&merged(&[a, b]).0, c]).0 == all);
+    assert!(merged(&[a, &merged(&[c, b]).0]).0 == all);
+}
+
+/// Where nothing ties two files they are not merged by a guess, nor is a manager merged with itself.
+#[test]
+fn what_nothing_ties_is_not_guessed() {
+    let one = &skewed(&[0], 50)[0];
+    let mut other = Vec::new();
+    let header = Header { manager: "m7".to_owned(), ..Header::default() };
+    Writer::new(&mut other, header).unwrap().finish().unwrap();
+    let try_merge = |files: [&Vec<u8>; 2]| {
+        sanddyke_trace::merge::merge(2, |number| Ok(open(files[number])), Vec::new()).unwrap_err().to_string()
+    };
+    assert!(try_merge([one, &other]).contains("not guessed"), "{}", try_merge([one, &other]));
+    assert!(try_merge([one, one]).contains("two of the files"));
 }
