Work out changes of tenants aside from the thread that serves

Need: with 10,000 tenants each change stalled the service for some 16 ms. Change: planning runs beside the disk's thread; news of shares alone carry no tenant and go to the core 256 at a time.

--- a/crates/tenancy/src/registry.rs
+++ b/crates/tenancy/src/registry.rs
@@ -114,6 +114,8 @@
     pub after: Registry,
     /// One record for each change.
     pub records: Vec<Record>,
+    /// The effective shares then.
+    pub shares: BTreeMap<TenantId, f64>,
     /// Tenants whose effective share is another then: before and after.
     pub moved: BTreeMap<TenantId, (f64, f64)>,
 }
@@ -263,8 +265,9 @@
     pub fn plan(&self, changes: &[Change]) -> Result<Plan, Refusal> {
         let mut after = self.clone();
         let records = after.apply(changes)?;
-        let moved = shares::moved(&shares::effective(self), &shares::effective(&after));
-        Ok(Plan { after, records, moved })
+        let shares = shares::effective(&after);
+        let moved = shares::moved(&shares::effective(self), &shares);
+        Ok(Plan { after, records, shares, moved })
     }
 
     /// Makes changes, all of them or none.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -76,6 +76,16 @@
     Unsendable { request: u64, attempt: u32 },
 }
 
+/// A tenant's share.
+#[derive(Debug, Clone, Copy, Default)]
+struct Share {
+    now: f64,
+    /// The one that the module was last told: a suspended tenant's from before.
+    told: f64,
+    /// The id of its group.
+    group: Option<u64>,
+}
+
 #[derive(Debug)]
 struct KnownEngine {
     name: String,
@@ -96,8 +106,8 @@
     front: Front,
     max_open: usize,
     roster: Roster,
-    /// By slot, the share, and the one that the module was last told.
-    shares: Vec<(f64, f64)>,
+    /// By slot.
+    shares: Vec<Share>,
     /// Tenants come from a store: one that is not there is unknown, also where there are none at all.
     hosted: bool,
     requests: HashMap<u64, Open>,
@@ -124,7 +134,12 @@
             roster.set(&Tenant { id, name, spec, state: State::Active, generation: Generation(0) });
         }
         Core {
-            shares: front.settings.tenants.iter().map(|told| (told.share, told.share)).collect(),
+            shares: front
+                .settings
+                .tenants
+                .iter()
+                .map(|of| Share { now: of.share, told: of.share, group: None })
+                .collect(),
             roster,
             hosted: false,
             gateway: Gateway::new(front.settings.clone(), seed, now.as_ms()),
@@ -271,13 +286,14 @@
         match news {
             TenantNews::Set { tenant, share, group } => {
                 let slot = self.roster.set(&tenant);
-                self.shares.resize(self.shares.len().max(slot + 1), (0.0, 0.0));
-                // Work that a suspended tenant has waiting keeps the turns that it had.
-                let told = if share > 0.0 { share } else { self.shares[slot].1 };
-                self.shares[slot] = (share, told);
-                let share = told;
-                let told = TenantSettings { share, quota_per_s: tenant.spec.quota_rps, group };
-                self.decide(now, Event::Tenant { tenant: crate::TenantId(slot), told: Some(told) }, out);
+                self.shares.resize(self.shares.len().max(slot + 1), Share::default());
+                self.shares[slot].group = group;
+                self.share(now, slot, share, out);
+            }
+            TenantNews::Share { id, share } => {
+                if let Some(slot) = self.roster.slot_of(id) {
+                    self.share(now, slot, share, out);
+                }
             }
             TenantNews::Removed(id) => {
                 let over = self.roster.remove(id);
@@ -286,11 +302,19 @@
         }
     }
 
+    fn share(&mut self, now: Micros, slot: Slot, share: f64, out: &mut Vec<Command>) {
+        let (Some(of), Some(tenant)) = (self.shares.get_mut(slot), self.roster.tenant(slot)) else { return };
+        // Work that a suspended tenant has waiting keeps the turns that it had.
+        (of.now, of.told) = (share, if share > 0.0 { share } else { of.told });
+        let told = TenantSettings { share: of.told, quota_per_s: tenant.spec.quota_rps, group: of.group };
+        self.decide(now, Event::Tenant { tenant: crate::TenantId(slot), told: Some(told) }, out);
+    }
+
     /// Drops a removed tenant to which nothing refers any more.
     fn forget_tenant(&mut self, now: Micros, slot: Option<Slot>, out: &mut Vec<Command>) {
         if let Some(slot) = slot {
             self.books.forget(slot);
-            self.shares[slot] = (0.0, 0.0);
+            self.shares[slot] = Share::default();
             self.decide(now, Event::Tenant { tenant: crate::TenantId(slot), told: None }, out);
         }
     }
@@ -372,7 +396,7 @@
             id: tenant.id,
             name: tenant.name.clone(),
             state: tenant.state,
-            share: self.shares.get(slot).map_or(0.0, |(share, _)| *share),
+            share: self.shares.get(slot).map_or(0.0, |of| of.now),
             open,
             attempts,
             refused: self.roster.refusals(slot).map(|(reason, count)| (reason.code(), count)).collect(),
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -40,6 +40,13 @@
         /// The id of its group.
         group: Option<u64>,
     },
+    /// Only its share is another: others have come, gone or changed.
+    Share {
+        /// The tenant.
+        id: TenantId,
+        /// Its effective share.
+        share: f64,
+    },
     /// It is removed: nothing new of it is taken, and what is under way goes on.
     Removed(TenantId),
 }
--- a/src/tenants/mod.rs
+++ b/src/tenants/mod.rs
@@ -23,6 +23,8 @@
 
 /// Changes that watchers can resume from without listing anew.
 const RECENT: usize = 4096;
+/// News that the core takes in one turn.
+const NEWS_AT_ONCE: usize = 256;
 /// How long the key of a creation is heeded (ms): a day.
 const CREATION_KEPT_MS: u64 = 86_400_000;
 /// Who made the changes of the first import.
@@ -100,7 +102,7 @@
 #[derive(Debug, Default)]
 pub struct State {
     /// The tenants and groups.
-    pub registry: Registry,
+    pub registry: Arc<Registry>,
     /// The tokens.
     pub tokens: Tokens,
     /// Effective shares.
@@ -138,15 +140,18 @@
     /// Takes over what was planned; gives the news for the core: removals first, so that a name which is added
     /// again in the same change is the new tenant's.
     fn take_over(&mut self, plan: Plan, who: &str, at_ms: u64) -> Vec<TenantNews> {
-        self.registry = plan.after;
-        self.shares = shares::effective(&self.registry);
-        let touched = plan.records.iter().filter_map(|record| record.tenant);
-        let mut ids: Vec<TenantId> = touched.chain(plan.moved.into_keys()).collect();
-        ids.sort_unstable();
-        ids.dedup();
-        let gone = ids.iter().filter(|id| self.registry.by_id(**id).is_none());
+        let old = (std::mem::replace(&mut self.registry, Arc::new(plan.after)), plan.shares);
+        let old = (old.0, std::mem::replace(&mut self.shares, old.1));
+        // Some thousand tenants take a while to free.
+        tokio::task::spawn_blocking(move || drop(old));
+        let mut touched: Vec<TenantId> = plan.records.iter().filter_map(|record| record.tenant).collect();
+        touched.sort_unstable();
+        touched.dedup();
+        let gone = touched.iter().filter(|id| self.registry.by_id(**id).is_none());
         let mut news: Vec<TenantNews> = gone.map(|id| TenantNews::Removed(*id)).collect();
-        news.extend(ids.iter().filter_map(|id| self.set(*id)));
+        news.extend(touched.iter().filter_map(|id| self.set(*id)));
+        let moved = plan.moved.into_iter().filter(|(id, _)| touched.binary_search(id).is_err());
+        news.extend(moved.map(|(id, (_, share))| TenantNews::Share { id, share }));
         let seen = |record| Seen { at_ms, who: who.to_owned(), record };
         self.recent.extend(plan.records.into_iter().map(seen));
         self.recent.drain(..self.recent.len().saturating_sub(RECENT));
@@ -199,7 +204,7 @@
                 opened.audit(u64::MAX, RECENT, |entry| matches!(entry.what, Done::Registry { .. }))?,
             );
             first = loaded.is_new || loaded.registry.generation() == Generation(0);
-            (state.registry, state.tokens) = (loaded.registry, loaded.tokens);
+            (state.registry, state.tokens) = (Arc::new(loaded.registry), loaded.tokens);
             loaded.creations.into_iter().for_each(|creation| state.keep_creation(creation));
             store = Some(Arc::new(opened));
         }
@@ -239,11 +244,14 @@
 
     /// What a wish would do.
     pub async fn plan(&self, wish: &Wish) -> Result<Plan, Failure> {
-        let state = self.state.lock().await;
-        if let Some((subject, expected)) = &wish.expected {
-            state.registry.expect(subject, Some(*expected))?;
-        }
-        Ok(state.registry.plan(&wish.changes)?)
+        let (registry, wish) = (self.read(|state| state.registry.clone()).await, wish.clone());
+        aside(move || {
+            if let Some((subject, expected)) = &wish.expected {
+                registry.expect(subject, Some(*expected))?;
+            }
+            Ok(registry.plan(&wish.changes)?)
+        })
+        .await
     }
 
     /// Makes a change. It goes on to its end when the caller does not wait for it any more: what is on the disk
@@ -270,16 +278,24 @@
         if let Some((subject, expected)) = &wish.expected {
             state.registry.expect(subject, Some(*expected))?;
         }
-        let plan = state.registry.plan(&wish.changes)?;
-        let mut commit = Commit::of(&wish.who, now, &plan.after, plan.records.clone());
         let creation = key.zip(wish.changes.first()).map(|((key, asked), change)| {
             let name = change.subject().name().to_owned();
             Creation { key, asked, name, until_ms: now + CREATION_KEPT_MS }
         });
-        if let Some(creation) = &creation {
-            commit = commit.with_creation(creation.clone());
-        }
-        durable(store, move |store| store.commit(&commit)).await?;
+        // Working it out takes some ms where there are thousands of tenants, as long as the disk: neither waits on
+        // the thread that serves.
+        let (registry, changes, who, kept) =
+            (state.registry.clone(), wish.changes, wish.who.clone(), creation.clone());
+        let plan = aside(move || {
+            let plan = registry.plan(&changes)?;
+            let commit = Commit::of(&who, now, &plan.after, plan.records.clone());
+            store.commit(&match kept {
+                Some(creation) => commit.with_creation(creation),
+                None => commit,
+            })?;
+            Ok(plan)
+        });
+        let plan = plan.await?;
         creation.into_iter().for_each(|creation| state.keep_creation(creation));
         for record in &plan.records {
             let subject = record.change.subject();
@@ -288,7 +304,12 @@
         }
         let records = plan.records.clone();
         let news = state.take_over(plan, &wish.who, now);
-        self.handle.tell(Input::Tenants(news)).await?;
+        let mut news = news.into_iter().peekable();
+        while news.peek().is_some() {
+            // A change that moves everyone's share is told in parts, between which requests are served.
+            self.handle.tell(Input::Tenants(news.by_ref().take(NEWS_AT_ONCE).collect())).await?;
+            tokio::task::yield_now().await;
+        }
         self.latest.send_replace(state.registry.generation());
         Ok(Made::Now(records))
     }
@@ -346,7 +367,7 @@
             }
             let now = keeper.clock.unix_ms();
             let commit = Commit::token(&who, now, &state.registry, &id, token, how);
-            durable(store, move |store| store.commit(&commit)).await?;
+            aside(move || Ok(store.commit(&commit)?)).await?;
             log::info!(who = who.as_str(), token = id.as_str(); "admin: a token was {how}");
             state.tokens = tokens;
             Ok(())
@@ -362,7 +383,7 @@
         fits: impl Fn(&AuditEntry) -> bool + Send + 'static,
     ) -> Result<Vec<AuditEntry>, Failure> {
         let store = self.store.clone().ok_or(Failure::NoStore)?;
-        Ok(durable(store, move |store| store.audit(before, most, fits)).await?)
+        aside(move || Ok(store.audit(before, most, fits)?)).await
     }
 
     /// Writes a backup into the folder for them; gives its path.
@@ -372,19 +393,18 @@
         let generation = self.read(|state| state.registry.generation().0).await;
         let path = folder.join(format!("sanddyke-{}-{generation}.redb", self.clock.unix_ms()));
         let to = path.clone();
-        durable(store, move |store| store.backup(&to)).await?;
+        aside(move || Ok(store.backup(&to)?)).await?;
         log::info!("admin: a backup is written to {}", path.display());
         Ok(path)
     }
 }
 
-/// Runs what waits for the disk on a thread of its own: the service goes on meanwhile.
-async fn durable<T: Send + 'static>(
-    store: Arc<Store>,
-    run: impl FnOnce(&Store) -> Result<T, StoreError> + Send + 'static,
-) -> Result<T, StoreError> {
-    let ran = tokio::task::spawn_blocking(move || run(&store)).await;
-    ran.unwrap_or_else(|error| Err(StoreError::Write(error.to_string())))
+/// Runs what takes long, or waits for the disk, on a thread of its own: the service goes on meanwhile.
+async fn aside<T: Send + 'static>(
+    run: impl FnOnce() -> Result<T, Failure> + Send + 'static,
+) -> Result<T, Failure> {
+    let ran = tokio::task::spawn_blocking(run).await;
+    ran.unwrap_or_else(|error| Err(StoreError::Write(error.to_string()).into()))
 }
 
 /// Random bytes for a secret.
