Read only the platform's own keys of the platform's configuration

The platform's file tells 'this and more', and one of the additional keys has the name of this program's table. Ruled out: refused calls (no ENOSYS in any log), sockets, memory.

At fault: Source::value in src/config.rs, which handed the whole of LB_CONFIG on. Now only the platform's keys are kept; an operator's file (--config, SANDDYKE_CONFIG) is read as before. Test: the program starts on such a file.

--- a/src/config.rs
+++ b/src/config.rs
@@ -33,6 +33,10 @@
 /// Above the longest result of the platform's engines: their pages cost a call each, and memory.
 const DEFAULT_PAGE_BYTES: usize = 256 * 1024;
 const DEFAULT_SERVICE: &str = "_api._tcp.svc.local";
+/// The keys that are read of the platform's file. It holds more, under names that may be this program's too
+/// (an `admin` that is an address was seen), and what is set up by them is off there.
+const PLATFORM_KEYS: [&str; 8] =
+    ["name", "listen", "seed", "limits", "resolver", "service", "known", "settings"];
 
 /// Why the program can't start.
 #[derive(Debug, Error)]
@@ -243,10 +247,17 @@
             (Source::Environment, None, None) => return Err(ConfigError::Unset),
         };
         let text = read(key, &path)?;
-        match json {
+        let value: Result<Value, _> = match json {
             true => serde_json::from_str(&text).map_err(|error| ConfigError::Form(key, error.to_string())),
             false => toml::from_str(&text).map_err(|error| ConfigError::Form(key, error.to_string())),
+        };
+        let mut value = value?;
+        if key == "LB_CONFIG"
+            && let Some(object) = value.as_object_mut()
+        {
+            object.retain(|name, _| PLATFORM_KEYS.contains(&name.as_str()));
         }
+        Ok(value)
     }
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -15,7 +15,7 @@
 static STARTED: AtomicU8 = AtomicU8::new(1);
 
 /// A loopback address that no other test has, in this process or another: no two ever race for a port.
-fn own_address() -> IpAddr {
+pub fn own_address() -> IpAddr {
     let [a, b] = (std::process::id() as u16).to_le_bytes();
     IpAddr::from([127, a, b, STARTED.fetch_add(1, Ordering::Relaxed)])
 }
@@ -103,7 +103,8 @@
     }
     std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
     let child = Command::new(env!("CARGO_BIN_EXE_sanddyke"))
-        .env("LB_CONFIG", folder.join("config.json"))
+        .arg("--config")
+        .arg(folder.join("config.json"))
         .stderr(Stdio::inherit())
         .spawn()
         .unwrap();
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use serde_json::json;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 use tiberius::{AuthMethod, Client, Config, EncryptionLevel};
 use tokio_util::compat::{Compat, TokioAsyncWriteCompatExt};
@@ -369,6 +369,31 @@
     assert!(program.wait().success());
 }
 
+/// Guards against ending at the start over keys of the platform's that have the names of this program's own.
+#[test]
+fn keys_of_the_platform_that_are_not_ours_are_passed_over() {
+    let http = SocketAddr::new(common::own_address(), 8080);
+    let file = std::env::temp_dir().join(format!("sanddyke-platform-{}", std::process::id()));
+    let more = serde_json::json!({"admin": "10.0.0.1:9901", "tds": true, "store": "none", "engines": 8, "ldap": [],
+        "page_bytes": "all", "settings": settings()});
+    std::fs::write(&file, more.to_string()).unwrap();
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_sanddyke"));
+    let mut child = command
+        .env("LB_CONFIG", &file)
+        .env("LB_LISTEN", http.to_string())
+        .env("LB_NAME", "n0")
+        .spawn()
+        .unwrap();
+    until("it listens or has ended", || {
+        TcpStream::connect(http).is_ok() || child.try_wait().unwrap().is_some()
+    });
+    let ended = child.try_wait().unwrap();
+    child.kill().unwrap();
+    child.wait().unwrap();
+    std::fs::remove_file(&file).unwrap();
+    assert!(ended.is_none(), "ended at its start: {ended:?}");
+}
+
 #[test]
 fn a_key_that_cannot_be_used_is_named_and_ends_the_program() {
     let file = std::env::temp_dir().join(format!("sanddyke-bad-{}", std::process::id()));
