--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -177,6 +177,17 @@
             Input::Tenants(news) => news.into_iter().for_each(|one| self.tenant(now, one, out)),
             Input::Attempt { request, attempt, news } => self.relay(now, request, attempt, news, out),
             Input::Probed { engine, end, report, elapsed } => {
+                if log::log_enabled!(log::Level::Debug) {
+                    let name = self.engines.get(&engine).map_or("?", |engine| &engine.name);
+                    let told = report.unwrap_or_default();
+                    let figures =
+                        [told.busy, told.queued, told.memory, told.disks].map(|one| one.unwrap_or(-1.0));
+                    log::debug!(
+                        "probe at={} us={} engine={name} end={end:?} load={figures:?}",
+                        now.0,
+                        elapsed.0
+                    );
+                }
                 let event = Event::Probed {
                     engine: crate::interface::EngineId(engine),
                     outcome: end.outcome(),
--- a/src/core/send.rs
+++ b/src/core/send.rs
@@ -103,6 +103,14 @@
             open.standing = Standing::Held;
         }
         self.books.count_attempt(outcome);
+        if log::log_enabled!(log::Level::Debug) {
+            let name = self.engines.get(&ended.engine).map_or("?", |engine| &engine.name);
+            let (sent, took) = (ended.sent.0, (now - ended.sent).0);
+            let class = self.requests.get(&request).map_or("-", |open| &open.arrival.class);
+            log::debug!(
+                "attempt at={sent} us={took} engine={name} end={outcome:?} request={request}.{attempt} class={class}"
+            );
+        }
         let settled = !self.requests.contains_key(&request);
         if let Some(sent) = self.sent.get_mut(&request) {
             sent.out -= 1;
