Take no time from probes that nobody answered: one of 0 ms had every engine look jammed

Counted over all managers: 1,550 probes ended NotUp when the zone went, each with 0 ms.

Ruled out: engines down or cold (the idle ones never were), refused connections there (none), full answers (none).

At fault: Event::Probed in src/logic.rs handed the time of any probe to note_lag; the least of a zone became 0 and stayed, so that lag over least was beyond LAG_JAM for every engine, for good. Now only answered probes count. Test in rules.rs.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -325,10 +325,11 @@
             }
             Event::Note { request, attempt, note } => self.on_note(request, attempt, note),
             Event::Probed { engine, outcome, elapsed_ms, report } => {
-                self.note_lag(engine, elapsed_ms);
-                // A probe that nobody answered is no word, and no report either.
-                let word = (outcome == Outcome::Served).then(|| report.unwrap_or_default());
-                self.note_report(engine, word);
+                // A probe that nobody answered is no word: no report, and no time that an answer takes.
+                if outcome == Outcome::Served {
+                    self.note_lag(engine, elapsed_ms);
+                    self.note_report(engine, Some(report.unwrap_or_default()));
+                }
                 if let Some(to) = self.engines.get_mut(&engine) {
                     to.probe = None;
                     to.unheard += u32::from(outcome == Outcome::TimedOut);
@@ -347,8 +348,6 @@
         out.append(&mut self.out);
     }
 
-    // ---- Events ----
-
     fn on_list(&mut self, news: ListNews) {
         let (entries, whole, fresh) = match news {
             ListNews::Update(entries) => (entries, false, true),
@@ -608,8 +607,8 @@
             // Loads whose data set is held on every engine do not count: they would block all behind them.
             let stands = |set: u64| self.is_held(set);
             let heads = self.queue.waiting(next.member()).take(LOOK).map(RequestId);
-            let heads = heads.filter(|id| !self.jobs[id].data_set.is_some_and(stands)).take(SCAN);
-            let heads: Vec<_> = heads.collect();
+            let free = |id: &RequestId| !self.jobs[id].data_set.is_some_and(stands);
+            let heads: Vec<_> = heads.filter(free).take(SCAN).collect();
             if let Some(id) = heads.into_iter().find(|id| self.try_send(*id)) {
                 self.queue.charge(next.member(), self.jobs[&id].work);
                 return true;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -343,6 +343,19 @@
     }
 }
 
+/// Guards against a probe that never left, after 0 ms, as the quickest: beside it every engine looked jammed for good.
+#[test]
+fn a_probe_that_was_never_answered_tells_no_time() {
+    let mut gateway = one_of_300();
+    let event = |engine, outcome, elapsed_ms| Event::Probed { engine, outcome, elapsed_ms, report: None };
+    for engine in 1..=4 {
+        gateway.handle(1.0, event(EngineId(engine), Outcome::NoConnection, 0.0), &mut Vec::new());
+    }
+    let asked = probes(&take(&mut gateway, 600.0, request(1)));
+    probed(&mut gateway, 602.0, asked[0], 2.0);
+    assert_eq!(sends(&probed(&mut gateway, 602.0, asked[1], 2.0)).len(), 1);
+}
+
 fn probe_ended(gateway: &mut Gateway, now: f64, outcome: Outcome) -> Vec<Action> {
     let mut out = Vec::new();
     let event = Event::Probed { engine: EngineId(1), outcome, elapsed_ms: 250.0, report: None };
