Cancel no attempt as hopeless where a manager knows no pace of the fleet

At fault: on_note in src/logic.rs judges an attempt by the median slowness of the engines; one of a hundred managers has an answer of an engine every few seconds, so the median stays 1 while all are slow. Now only a manager that knows the pace cancels. Test in rules.rs.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -503,7 +503,7 @@
         let usual = self.tenants.get(&job.tenant).map_or(0.0, |of| of.streams[job.class].service);
         let fresh = usual.max(job.work / class.threads * self.pace.slow.max(1.0));
         let allowed = class.effect == Effect::Repeatable && limits.cancel && job.sent < limits.max_attempts;
-        let hopeless = allowed && left > RUNAWAY * fresh;
+        let hopeless = allowed && !self.pace.tiny && left > RUNAWAY * fresh;
         self.out.extend(hopeless.then_some(Action::Cancel { request: id, attempt: number }));
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -388,3 +388,22 @@
         assert_eq!(out.iter().filter(down).count(), downs, "{second}: {out:?}");
     }
 }
+
+/// Guards against a fleet that cancels all it runs and sends it again, once its engines slow down: one gateway of
+/// many knows no pace to judge an attempt by.
+#[rstest::rstest]
+#[case(1, 1)]
+#[case(300, 0)]
+fn only_a_gateway_that_knows_the_pace_cancels_a_hopeless_attempt(
+    #[case] gateways: usize,
+    #[case] cancelled: usize,
+) {
+    let settings = Settings { gateways, ..settings(ClassSettings::default()) };
+    let mut gateway = gateway(settings, &[engine(1)]);
+    take(&mut gateway, 1.0, request(1));
+    probed(&mut gateway, 3.0, 1, 2.0);
+    let (mut out, note) = (Vec::new(), Note::Progress(0.01));
+    gateway.handle(403.0, Event::Note { request: RequestId(1), attempt: 0, note }, &mut out);
+    let cancel = |action: &&Action| matches!(action, Action::Cancel { .. });
+    assert_eq!(out.iter().filter(cancel).count(), cancelled, "{out:?}");
+}
