Send cold engines work on credit, and heed their told memory, in large fleets

Engines that page tell a busy share of 0.2 and 2 to 6 times their memory: they look idle, draw all, and answer 'full' 17,000 times in 5 s.

Ruled out: no word of the new engines (they were probed), refused connects (none), rule 3 (no sends to those draining).

At fault in src/logic.rs: cold_allows gave a manager 0.5 x 2.5 x 0.31 x 0.85 x 8 x 1,500 / 100 = 40 ms of work in 1.5 s, less than any query, so nobody sent. Now the same budget is a credit that grows with what the engine can do (cold_from at its start, all at warm_up), and is paid for after a send; each manager begins at a random place between two sends, so a hundred that hear of it at once don't send at once. Two tests, both fail without; the second also bounds what a hundred send together in any window.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,8 +1,6 @@
 //! Every decision of the gateway: when, and where, each request runs and how it ends. Types: `interface.rs`.
-//! Ordinary path (docs/design.md): requests wait in streams; a sub-second ("sensitive") request is
-//! due at arrival + latency budget - service time, earliest first; all others are best effort, round
-//! robin over tenants. Alpha splits free slots between the sides, which lend what they do not use; a cap
-//! binds under pressure; the lighter of two random engines is taken.
+//! Ordinary path: a sub-second ("sensitive") request is due at arrival + latency budget - service time; all
+//! others are best effort, in turns. Alpha splits slots, a cap binds under pressure, the lighter of two wins.
 
 use crate::interface::*;
 use oorandom::Rand64;
@@ -29,8 +27,7 @@
 const CAP_TINY: f64 = 1.0; // a part of an engine under this is no query: fresh word decides (threads)
 
 // --- Pressure ---
-/// The mark: threads a core from which an engine is under pressure, and which all gateways may run there.
-/// It rises while heavy answers take less than the low stretch and others wait, and falls over the high one.
+/// The mark: threads a core of a full engine. It rises below the low stretch, and falls over the high one.
 const FULL_FIRST: (f64, f64) = (1.2, 2.0); // the second where a part is tiny: few engines under it draw all
 const FULL_BOUNDS: (f64, f64) = (1.0, 2.2);
 const FULL_STEP: f64 = 0.02;
@@ -73,9 +70,7 @@
 const PROBE_LEAST_MS: f64 = 250.0; // least time between two rounds of probes
 const RUNAWAY: f64 = 5.0; // an attempt that will take this many times a fresh one is cancelled
 
-// --- Guards ---
-const COLD_SAFETY: f64 = 0.5; // part of the cold budget to use: capacity is judged, not told
-const CAPACITY_BUSY: f64 = 0.85; // share of busy cores at which the rule counts an engine's capacity
+const COLD_SAFETY: f64 = 0.425; // of the cold budget: half, of 85 % busy cores: capacity is judged, not told
 const BEST_OVER: f64 = 50.0; // answers over which a class's best mean time is sought
 const PATIENCE_WEIGHT: f64 = 0.05; // weight of one client that left in its class's patience
 const PATIENCE_FADE: f64 = 0.03; // part by which patience grows back a refit
@@ -123,6 +118,7 @@
     gone_since: Option<Millis>,
     own: Load,
     others: f64, // queries that the other gateways run here, by reports
+    filled: f64, // part of its memory that is granted, as it told
     reported: Option<Millis>,
     lag: f64,  // what the last probe took over the quickest of its zone, in the quickest of all
     slow: f64, // time that answers take over the time that they would take alone
@@ -133,11 +129,11 @@
     rest_until: Millis,
     loading: Vec<u64>, // data sets that own loads hold here: another load on one would stand still
     probe: Option<Load>, // what was running when the probe that is out was sent
-    recent: VecDeque<(Millis, Millis)>, // class weights sent while cold, for the cold budget
+    able: f64,         // cores' worth of work that it can do now: less while it is cold
+    credit: f64,       // work that it may be sent while cold, by this gateway (ms)
     place: usize,      // among the engines, by id
 }
 
-/// One tenant's requests of one class.
 #[derive(Debug, Default, Clone)]
 struct Stream {
     done: Window,
@@ -161,7 +157,6 @@
     budgets: Memo, // latency budgets by CV and aim
 }
 
-/// A tenant that has asked something lately.
 #[derive(Debug)]
 struct Tenant {
     streams: Vec<Stream>, // by class
@@ -262,14 +257,29 @@
 }
 
 impl Engine {
+    /// It is cold until then. Many gateways learn of it at once: each begins somewhere between two sends.
+    fn chill(&mut self, until: Millis, now: Millis, mean: Millis, rng: &mut Rand64) {
+        if until > self.cold_until.max(now) {
+            (self.cold_until, self.credit) = (until, -rng.rand_float() * mean);
+        }
+    }
+
+    /// Rule 4: what it can do now, and this gateway's part of what it is sent, which is paid for after.
+    fn warm(&mut self, now: Millis, passed: Millis, rules: &Rules, gateways: usize) {
+        let cold = ((self.cold_until - now) / rules.warm_up_ms.max(1.0)).clamp(0.0, 1.0);
+        self.able = self.cores * (1.0 - cold * (1.0 - rules.cold_fraction));
+        let rate = COLD_SAFETY * rules.overload_factor * self.able / gateways.max(1) as f64;
+        self.credit = (self.credit + passed * rate).min(rate * rules.overload_window_ms / 2.0);
+    }
+
     fn is_fresh(&self, now: Millis) -> bool {
         self.reported.is_some_and(|at| now - at < FRESH_MS)
     }
 
-    /// Whether so much more memory would be too much.
     fn is_crammed(&self, memory: f64, mix: &Load) -> bool {
         let empty = self.own.queries + self.others < 1.0;
-        !empty && self.own.memory + self.others * mix.memory + memory > MEMORY_FULL * self.memory_mb
+        let all = self.own.memory + self.others * mix.memory + memory;
+        !empty && (all > MEMORY_FULL * self.memory_mb || self.filled > MEMORY_FULL)
     }
 }
 
@@ -357,6 +367,7 @@
         };
         let unnamed = self.engines.values_mut().filter(|_| whole);
         unnamed.for_each(|engine| engine.entry.state = EngineState::Gone);
+        let mean = self.mean_work();
         for entry in entries {
             let kind = self.settings.kinds.get(entry.kind.0).copied().unwrap_or_default();
             let new = !self.engines.contains_key(&entry.id);
@@ -369,8 +380,9 @@
             // A start that the list does not date is taken as just now when it comes as news.
             let started = entry.started_at.or((new && fresh).then_some(self.now));
             let warm = started.map_or(0.0, |at| at + self.settings.rules.warm_up_ms);
-            engine.cold_until = engine.cold_until.max(warm);
             engine.entry = entry;
+            engine.chill(warm, self.now, mean, &mut self.rng);
+            engine.warm(self.now, 0.0, &self.settings.rules, self.settings.gateways);
         }
         // New engines come under new names all day long: one that has been gone for long is forgotten.
         let now = self.now;
@@ -492,8 +504,7 @@
         self.leave_line(id, attempt.key);
     }
 
-    /// A bad plan shows when what is left, at the attempt's own pace, is far more than a fresh one takes.
-    /// Also catches a hopeless engine. Hurts when all is slow: so a fresh one is counted at the fleet's pace.
+    /// A bad plan, or engine: what is left, at the attempt's own pace, is far more than a fresh one takes.
     fn on_note(&mut self, id: RequestId, number: u32, note: Note) {
         let (Note::Progress(share), limits) = (note, &self.settings.limits) else { return };
         let (attempt, job) = (self.attempts.get(&(id, number)), self.jobs.get(&id));
@@ -523,7 +534,10 @@
             tenant.tokens = (tenant.tokens + passed * per_ms).min(most);
         }
         let fade = (passed / SLOW_FADE_MS).min(1.0);
-        self.engines.values_mut().for_each(|engine| engine.slow += (1.0 - engine.slow).min(0.0) * fade);
+        for engine in self.engines.values_mut() {
+            engine.slow += (1.0 - engine.slow).min(0.0) * fade;
+            engine.warm(now, passed, &self.settings.rules, self.settings.gateways);
+        }
         let ready = self.engines.values().filter(|engine| engine.entry.state == EngineState::Ready);
         let mut slows: Vec<f64> = ready.map(|engine| engine.slow).collect();
         slows.sort_by(f64::total_cmp);
@@ -545,8 +559,6 @@
         self.pace.taken.trim(since);
     }
 
-    // ---- The mechanism ----
-
     /// Windows, latency budgets, alpha and the mark of a full engine, on a timer.
     fn refit(&mut self) {
         let (mut worst, mut best, mut cvs, mut count) = (0.0f64, f64::INFINITY, 0.0, 0.0);
@@ -597,8 +609,7 @@
         }
     }
 
-    /// Round robin by least work sent over share; late and beyond-share requests after all others. An idle
-    /// tenant saves up no turns: it comes back at the turn that was served last.
+    /// Round robin by least work sent over share. An idle tenant saves up no turns.
     fn round_robin(&mut self) -> bool {
         let mut place = None;
         let left =
@@ -618,8 +629,7 @@
         false
     }
 
-    /// The lighter of two random engines by estimated running work, among those with room. One that is full
-    /// for this class is not looked at again until something about it changes.
+    /// The lighter of two random engines with room, by work. A full one is passed over until it changes.
     fn pick(&mut self, id: RequestId) -> Option<EngineId> {
         let class = self.jobs[&id].class;
         if self.is_stuck(class)
@@ -639,7 +649,7 @@
         let weigh = |to: EngineId| {
             let engine = &self.engines[&to];
             let running = engine.own.work + engine.others * mix.work + job.work;
-            (to, running / engine.cores * engine.slow)
+            (to, running / engine.able * engine.slow)
         };
         let lighter = drawn.into_iter().flatten().map(weigh).min_by(|a, b| a.1.total_cmp(&b.1));
         (self.draws, self.rng) = (draws, rng);
@@ -647,8 +657,7 @@
         lighter.map(|(id, _)| id)
     }
 
-    /// A gateway too quiet to know the engines draws among those of which it has fresh word. Where there are
-    /// too few it asks two others, and nothing of this class goes out meanwhile.
+    /// A gateway too quiet to know the engines draws where it has fresh word, or asks two more.
     fn has_word(&mut self, id: RequestId) -> bool {
         let (job, mix) = (&self.jobs[&id], self.mix());
         let may = |to: &&Engine| self.may_class(job.class, to) && self.is_harmless(job, Some(&to.entry));
@@ -694,7 +703,7 @@
         let full = self.pace.full + if class.is_sensitive() { SENSITIVE_ROOM } else { 0.0 };
         let free = if engine.lag > LAG_BUSY { full / 2.0 } else { full };
         let jammed = engine.slow > PRESSURE_SLOW || engine.lag > LAG_JAM;
-        let pressed = jammed || total + class.threads / 2.0 > free * engine.cores;
+        let pressed = jammed || total + class.threads / 2.0 > free * engine.able;
         let cap = engine.cores * self.pace.full * self.pace.part * (PRESSURE_SLOW / engine.slow).min(1.0);
         let fits = engine.own.threads == 0.0 || engine.own.threads + class.threads <= cap.max(CAP_LEAST);
         let least = job.memory.min(self.classes[job.class].memory);
@@ -712,8 +721,7 @@
         self.jobs.len() as f64 > CROWDED * most
     }
 
-    /// Whether a load on a data set would stand still on an engine. Once crowded, each engine's place for a
-    /// data set is one gateway's: the same place for all would have most of their loads stand still there.
+    /// Whether a load would stand still: held there, or (once crowded) the place is another gateway's.
     fn stands_on(&self, engine: &Engine, set: u64) -> bool {
         let place = engine.place.wrapping_add(set as usize);
         let theirs = place % self.settings.gateways.max(1) != self.settings.me;
@@ -725,19 +733,23 @@
         self.engines.values().all(|to| to.entry.state != EngineState::Ready || self.stands_on(to, set))
     }
 
+    /// The mean work of a request, by what was finished of late; that of the lightest class at least.
+    fn mean_work(&self) -> Millis {
+        let least = self.classes.iter().map(|stats| stats.work).fold(f64::INFINITY, f64::min);
+        (self.pace.rate / self.pace.arrival_rate.max(f64::MIN_POSITIVE)).max(least)
+    }
+
     /// The mean query of this gateway now in flight: by it other gateways' load is judged.
     fn mix(&self) -> Load {
         self.own.mean_with(Load { queries: 1.0, threads: 1.0, ..Load::default() })
     }
 
-    // ---- Guards: rules 1 to 7 ----
-
     /// The guard before every send, as far as it is the same for a whole class: rules 3, 4 and 6.
     fn may_class(&self, class: usize, engine: &Engine) -> bool {
         let (told, entry) = (&self.settings.classes[class], &engine.entry);
         let placed = told.only_kinds.as_ref().is_none_or(|kinds| kinds.contains(&entry.kind))
             && told.only_zones.as_ref().is_none_or(|zones| zones.contains(&entry.zone));
-        entry.state == EngineState::Ready && placed && self.cold_allows(class, engine)
+        entry.state == EngineState::Ready && placed && self.cold_allows(engine)
     }
 
     /// The guard before every send, as far as the request goes: rules 1, 2, 5 and 7.
@@ -758,15 +770,10 @@
         })
     }
 
-    /// Rule 4: this gateway's part of what a cold engine can take at least; none right after its own start.
-    fn cold_allows(&self, class: usize, engine: &Engine) -> bool {
-        let rules = &self.settings.rules;
-        let since = self.now - rules.overload_window_ms;
-        let used: f64 = engine.recent.iter().filter(|(at, _)| *at > since).map(|(_, weight)| weight).sum();
-        let capacity = rules.cold_fraction * CAPACITY_BUSY * engine.cores * rules.overload_window_ms;
-        let part = COLD_SAFETY * rules.overload_factor / self.settings.gateways.max(1) as f64;
-        let fits = since >= self.born && used + self.classes[class].work <= part * capacity;
-        fits || self.now >= engine.cold_until
+    /// Rule 4: what a cold engine was sent is paid for; and nothing right after this gateway's own start.
+    fn cold_allows(&self, engine: &Engine) -> bool {
+        let since = self.now - self.settings.rules.overload_window_ms;
+        self.now >= engine.cold_until || (since >= self.born && engine.credit >= 0.0)
     }
 
     fn is_out(&self, id: RequestId) -> bool {
@@ -807,11 +814,7 @@
         let load = Load { queries: 1.0, threads: class.threads, work: job.work, memory: job.memory };
         engine.own.add(load, 1.0);
         self.own.add(load, 1.0);
-        if self.now < engine.cold_until {
-            let since = self.now - self.settings.rules.overload_window_ms;
-            engine.recent.retain(|(at, _)| *at > since);
-            engine.recent.push_back((self.now, self.classes[job.class].work));
-        }
+        engine.credit -= if self.now < engine.cold_until { self.classes[job.class].work } else { 0.0 };
         engine.loading.extend(job.data_set);
         let (class, data_set) = (job.class, job.data_set);
         let attempt = Attempt { engine: to, at: self.now, class, load, data_set, key: job.key };
@@ -864,7 +867,6 @@
         self.classes[job.class].held -= usize::from(self.queue.take(job.tenant, job.rank, id.0));
     }
 
-    /// Notes how a request ended in its stream's window.
     fn record(&mut self, id: RequestId, served: Option<Millis>) {
         let Some(job) = self.jobs.get(&id) else { return };
         let late = if self.now <= job.aim_at { 0.0 } else { U_LATE };
@@ -875,10 +877,7 @@
         }
     }
 
-    // ---- Defences ----
-
-    /// Predicts when each waiting best-effort request will end. Past its aim it goes behind all others; past
-    /// its deadline it is refused now, as a late failure costs more. So are sensitive ones past their aim.
+    /// Predicts ends: past its aim, best effort goes behind all others; past its deadline it is refused now.
     fn sweep(&mut self) {
         let slow = self.pace.slow.clamp(1.0, PRESSURE_SLOW);
         let alone = |job: &Job| job.work / self.settings.classes[job.class].threads;
@@ -944,14 +943,15 @@
 
     /// Health by outcomes: a full engine rests, an unreachable one is down until it answers, then cold.
     fn mark(&mut self, id: EngineId, outcome: Outcome) {
+        let mean = self.mean_work();
         let Some(engine) = self.engines.get_mut(&id) else { return };
         match outcome {
             Outcome::Served => {
                 (engine.failures, engine.unheard) = (0, 0);
                 let Some(since) = engine.down_since.take() else { return };
                 let restarted = f64::from(self.now - since > RESTART_MS);
-                engine.cold_until =
-                    engine.cold_until.max(restarted * (self.now + self.settings.rules.warm_up_ms));
+                let warm = restarted * (self.now + self.settings.rules.warm_up_ms);
+                engine.chill(warm, self.now, mean, &mut self.rng);
                 (engine.slow, engine.others) = (1.0, 0.0);
                 self.out.push(Action::Log(format!("engine {} up again", id.0)));
             }
@@ -971,8 +971,7 @@
         }
     }
 
-    /// A probe that is served beside the queries takes long on an engine that is jammed, whatever its busy
-    /// share says: one that waits for disks or memory looks idle. Hurts where the network itself stutters.
+    /// A probe served beside the queries takes long on a jammed engine, which by its busy share looks idle.
     fn note_lag(&mut self, id: EngineId, elapsed: Millis) {
         let Some(engine) = self.engines.get_mut(&id) else { return };
         let least = self.pace.least.entry(engine.entry.zone).or_insert(elapsed);
@@ -990,6 +989,7 @@
         let own = engine.probe.take().unwrap_or(engine.own);
         let known = !self.pace.tiny || engine.reported.is_some_and(|at| self.now - at < 2.0 * FRESH_MS);
         engine.reported = Some(self.now); // also without figures
+        engine.filled = report.memory.filter(|_| self.pace.tiny).unwrap_or(engine.filled);
         // A busy share says nothing past 1: there the other gateways are taken to be like this one.
         let by_cores = |busy: f64| {
             let seen = (busy * engine.cores - own.threads) / threads;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -407,3 +407,70 @@
     let cancel = |action: &&Action| matches!(action, Action::Cancel { .. });
     assert_eq!(out.iter().filter(cancel).count(), cancelled, "{out:?}");
 }
+
+/// A jammed engine looks idle by its busy share: one of many gateways goes by what it tells of its memory.
+#[test]
+fn an_engine_that_tells_of_a_full_memory_takes_nothing_from_one_gateway_of_many() {
+    let report = |memory| LoadReport { busy: Some(0.2), memory: Some(memory), ..LoadReport::default() };
+    let told = |gateway: &mut Gateway, memory| {
+        let engine = EngineId(1);
+        let report = Some(report(memory));
+        let event = Event::Probed { engine, outcome: Outcome::Served, elapsed_ms: 2.0, report };
+        let mut out = Vec::new();
+        gateway.handle(3.0, event, &mut out);
+        sends(&out).len()
+    };
+    let settings = Settings { gateways: 300, ..settings(ClassSettings::default()) };
+    for (memory, sent) in [(4.0, 0), (0.5, 1)] {
+        let mut gateway = gateway(settings.clone(), &[engine(1)]);
+        take(&mut gateway, 1.0, request(1));
+        assert_eq!(told(&mut gateway, memory), sent, "{memory}");
+    }
+}
+
+/// Guards against a fleet that leaves a cold engine idle, as no manager's part of its budget is a whole query, and
+/// against one that sends all at once as it hears of it: a hundred gateways on one clock, counted in any window.
+#[test]
+fn a_hundred_gateways_together_use_a_cold_engine_within_its_budget() {
+    let rules = Rules {
+        cold_fraction: 0.31,
+        warm_up_ms: 12_000.0,
+        overload_factor: 2.5,
+        overload_window_ms: 1500.0,
+        ..Settings::default().rules
+    };
+    let settings = Settings { gateways: 100, rules, ..settings(ClassSettings::default()) };
+    let work = 500.0; // a class's work until answers tell it: half its aim
+    let mut sent = Vec::new();
+    for seed in 0..100 {
+        let mut gateway = Gateway::new(settings.clone(), seed, 0.0);
+        let cold = EngineEntry { started_at: Some(2000.0), ..engine(1) };
+        for step in 0..600u64 {
+            let now = 20.0 * step as f64;
+            let mut out = Vec::new();
+            if step == 100 {
+                gateway.handle(now, Event::List(ListNews::Update(vec![cold])), &mut out);
+            }
+            if step >= 100 {
+                out.extend(probed(&mut gateway, now, 1, 2.0));
+                out.extend(take(&mut gateway, now, Request { remaining_ms: 100.0, ..request(step) }));
+            }
+            gateway.handle(now, Event::Timer(0), &mut out);
+            for (request, _) in sends(&out) {
+                sent.push(now);
+                end(&mut gateway, now, request, 0, Outcome::Served);
+            }
+        }
+    }
+    sent.sort_by(f64::total_cmp);
+    // What it can do at least, and the rule's multiple of that.
+    let most = 2.5 * 0.31 * 8.0 * 1500.0;
+    let window =
+        |from: &f64| sent.iter().filter(|at| (*from..from + 1500.0).contains(*at)).count() as f64 * work;
+    let worst = sent.iter().map(window).fold(0.0, f64::max);
+    let first: f64 = sent.iter().filter(|at| **at < 5000.0).count() as f64 * work;
+    assert!(first > 0.1 * 2.0 * most, "hardly used in its first 3 s: {first} of {}", 2.0 * most);
+    assert!(worst <= 2.0 * most, "{worst} in one window, at most {most} while it is coldest");
+    let early = window(&2000.0);
+    assert!(early <= most, "{early} in its first window, at most {most}");
+}
