By one word of an engine, each manager of many sends as often as there is room for all

A hundred managers, each with work held, read the same room and all use it before the next report.

At fault: note_report in src/logic.rs took a report as this manager's own to use. Now what the others hold, taken to be as much as this one's, is added to it times a random part, and what is sent counts for the managers that there are to an engine: with room r and a crowd c a manager sends in r/c of the cases. Drawn and counted only where a manager's part of an engine is no query. Test in rules.rs; both of its cases count a hundred gateways.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -80,7 +80,6 @@
 const TICK_MS: f64 = 20.0; // least time between two rounds of upkeep (ms)
 const TICK: u64 = 0; // token of the upkeep timer; a request's timer is its id plus one
 
-/// A request that is owed a final answer.
 #[derive(Debug, Default)]
 struct Job {
     class: usize,
@@ -98,7 +97,6 @@
     bound: bool,                                          // A stream flows: no deadline, no further attempt
 }
 
-/// An attempt without an outcome; it may outlive its job.
 #[derive(Debug)]
 struct Attempt {
     engine: EngineId,
@@ -141,7 +139,6 @@
     slack: Millis, // its latency budget less the service time
 }
 
-/// What is known of a class's needs; `bias` is told work over estimated work.
 #[derive(Debug, Default)]
 struct ClassStats {
     seen: f64,
@@ -191,6 +188,7 @@
     stretch: f64, // time over time alone, of best-effort answers whose work is told
     slow: f64,    // median slowness of the engines
     listed: usize, // engines that are not gone
+    crowd: f64,   // gateways that go by one engine's word, where it is all they go by
 }
 
 /// The decisions of one gateway.
@@ -394,6 +392,7 @@
         self.engines.retain(|_, engine| !over(engine) || engine.own.queries > 0.5);
         self.engines.values_mut().enumerate().for_each(|(at, engine)| engine.place = at);
         self.pace.listed = self.engines.values().filter(|to| to.entry.state != EngineState::Gone).count();
+        self.pace.crowd = f64::from(self.pace.tiny) / self.pace.part / self.pace.listed.max(1) as f64;
         self.reopen_all();
     }
 
@@ -559,7 +558,6 @@
         self.pace.taken.trim(since);
     }
 
-    /// Windows, latency budgets, alpha and the mark of a full engine, on a timer.
     fn refit(&mut self) {
         let (mut worst, mut best, mut cvs, mut count) = (0.0f64, f64::INFINITY, 0.0, 0.0);
         let mut seen = [0.0, 0.0]; // ends of all classes, and of sensitive ones
@@ -680,12 +678,10 @@
         false
     }
 
-    /// Whether no engine has room for a class in this round, or none was found for too many.
     fn is_stuck(&self, class: usize) -> bool {
         self.draws.listed(class) == 0 || self.classes[class].misses >= LOOK
     }
 
-    /// Every engine may have room again: time has passed, or the list has changed.
     fn reopen_all(&mut self) {
         let ready = self.engines.values().filter(|to| to.entry.state == EngineState::Ready);
         self.draws.reset(ready.map(|engine| engine.entry.id));
@@ -710,7 +706,6 @@
         (!pressed || (fits && !self.pace.tiny)) && !engine.is_crammed(least, mix)
     }
 
-    /// Whether an open engine can take this very request: memory left, its data set free, no harm done.
     fn takes(&self, job: &Job, engine: &Engine, mix: &Load) -> bool {
         let standing = job.data_set.is_some_and(|set| self.stands_on(engine, set));
         !standing && !engine.is_crammed(job.memory, mix) && self.is_harmless(job, Some(&engine.entry))
@@ -728,7 +723,6 @@
         engine.loading.contains(&set) || (theirs && self.is_crowded())
     }
 
-    /// Whether own loads hold a data set on every engine: another load on it has to wait.
     fn is_held(&self, set: u64) -> bool {
         self.engines.values().all(|to| to.entry.state != EngineState::Ready || self.stands_on(to, set))
     }
@@ -761,7 +755,6 @@
         turn && fresh && !job.bound && self.now < job.deadline && !self.is_out(id)
     }
 
-    /// Rule 7: the ration of further attempts.
     fn may_repeat(&self) -> bool {
         self.settings.rules.retry_budget.is_none_or(|budget| {
             let since = self.now - budget.window_ms;
@@ -813,6 +806,7 @@
         job.maybe.get_or_insert((job.sent, self.now, engine.entry.zone, engine.entry.cell));
         let load = Load { queries: 1.0, threads: class.threads, work: job.work, memory: job.memory };
         engine.own.add(load, 1.0);
+        engine.filled += job.memory / engine.memory_mb * self.pace.crowd;
         self.own.add(load, 1.0);
         engine.credit -= if self.now < engine.cold_until { self.classes[job.class].work } else { 0.0 };
         engine.loading.extend(job.data_set);
@@ -984,12 +978,18 @@
     fn note_report(&mut self, id: EngineId, report: Option<LoadReport>) {
         let threads = self.mix().threads;
         let alike = self.own.queries / self.pace.listed.max(1) as f64 * (1.0 / self.pace.part - 1.0);
+        // The others hold as much and read the same word: each goes by it as often as there is room for all.
+        let least = self.classes.iter().map(|stats| stats.memory).fold(f64::INFINITY, f64::min);
+        let held: f64 = self.classes.iter().map(|stats| stats.held as f64 * stats.memory).sum();
+        let drawn = if self.pace.tiny { self.rng.rand_float() } else { 0.0 };
+        let crowd = drawn * self.pace.crowd * (held + self.sensitive.len() as f64 * least);
         let (Some(engine), Some(report)) = (self.engines.get_mut(&id), report) else { return };
         engine.unheard = 0;
         let own = engine.probe.take().unwrap_or(engine.own);
         let known = !self.pace.tiny || engine.reported.is_some_and(|at| self.now - at < 2.0 * FRESH_MS);
         engine.reported = Some(self.now); // also without figures
-        engine.filled = report.memory.filter(|_| self.pace.tiny).unwrap_or(engine.filled);
+        let told = report.memory.filter(|_| self.pace.tiny);
+        engine.filled = told.map_or(engine.filled, |told| told + crowd / engine.memory_mb);
         // A busy share says nothing past 1: there the other gateways are taken to be like this one.
         let by_cores = |busy: f64| {
             let seen = (busy * engine.cores - own.threads) / threads;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -474,3 +474,50 @@
     let early = window(&2000.0);
     assert!(early <= most, "{early} in its first window, at most {most}");
 }
+
+/// Guards against a hundred gateways that all hold work and rush into one engine, as each reads that it has room:
+/// of those that hold much only a part may send by one word, while each of those that hold one may.
+#[rstest::rstest]
+#[case(1, 90..=100)]
+#[case(40, 1..=15)]
+fn by_one_word_a_fleet_sends_as_there_is_room_for_all(
+    #[case] held: u64,
+    #[case] senders: std::ops::RangeInclusive<usize>,
+) {
+    let mut settings = Settings { gateways: 100, ..settings(ClassSettings::default()) };
+    settings.kinds = vec![KindSettings { cores: Some(8.0), memory_mb: Some(16_384.0) }];
+    let engines: Vec<EngineEntry> = (1..=20).map(engine).collect();
+    let word = |engine, memory| Event::Probed {
+        engine: EngineId(engine),
+        outcome: Outcome::Served,
+        elapsed_ms: 2.0,
+        report: Some(LoadReport { busy: Some(0.2), memory: Some(memory), ..LoadReport::default() }),
+    };
+    let sent = |seed: &u64| {
+        let (mut out, mut gateway) = (Vec::new(), Gateway::new(settings.clone(), *seed, 0.0));
+        gateway.handle(0.0, Event::List(ListNews::Restored(engines.clone())), &mut out);
+        // It learns what a query needs: 800 MB, a twentieth of an engine.
+        take(&mut gateway, 1.0, request(1));
+        let first = (1..=20).find_map(|to| sends(&probed(&mut gateway, 2.0, to, 2.0)).first().copied());
+        assert!(first.is_some());
+        let end = AttemptEnd {
+            request: RequestId(1),
+            attempt: 0,
+            outcome: Outcome::Served,
+            elapsed_ms: 500.0,
+            settled: true,
+            usage: Some(Usage { work_ms: 500.0, memory_mb: 800.0 }),
+            report: None,
+        };
+        gateway.handle(502.0, Event::Ended(end), &mut out);
+        for id in 2..2 + held {
+            take(&mut gateway, 1000.0, request(id));
+        }
+        out.clear();
+        gateway.handle(1001.0, word(1, 0.6), &mut out);
+        gateway.handle(1001.0, word(2, 0.6), &mut out);
+        !sends(&out).is_empty()
+    };
+    let many = (0..100).filter(sent).count();
+    assert!(senders.contains(&many), "{many} of 100 sent");
+}
