A life of its own, the second address, drains, and the clients' socket taken over

Design: where the program stands is one state machine without I/O and clock (crates/life, table in its docs, each event in each phase and each pair in either order tested). /check, the second address, the doors of both fronts, the administration API and the signals ask it; Door is gone. The second address has a thread, runtime and descriptors of its own. Drained: answers carry Connection: close, idle connections are closed 0.5 s later, so that few requests cross a close. The socket named by LB_ACCEPT_FD is checked and taken over (crates/inherit, the one unsafe line); its process stops accepting at SIGTERM, serves what it accepted, and gives no request longer than the platform waits.

Not taken: the second address as a task of the main runtime (an answer would wait behind a crowd, and a stuck service could not say so); listenfd (reads LISTEN_FDS, counts from 3, and setting a variable for it is unsafe); closing idle connections at once (more requests cross the close); a bool more beside Door's two.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -11,7 +11,8 @@
 use crate::core::{Report, Tally};
 use crate::front::http::message::{Request, Response};
 use crate::front::http::read_request;
-use crate::front::{self, Door, Seat};
+use crate::front::{self, Seat};
+use crate::life::Lifeline;
 use crate::service::Handle;
 use crate::tenants::Keeper;
 use bytes::BytesMut;
@@ -47,7 +48,7 @@
 #[derive(Debug)]
 pub struct Admin {
     handle: Handle,
-    door: Door,
+    life: Lifeline,
     keeper: Arc<Keeper>,
     clock: Clock,
     token: String,
@@ -109,9 +110,15 @@
 
 impl Admin {
     /// An API over a keeper; `token` is the root operator's.
-    pub fn new(handle: Handle, door: Door, keeper: Arc<Keeper>, clock: Clock, token: String) -> Arc<Admin> {
+    pub fn new(
+        handle: Handle,
+        life: Lifeline,
+        keeper: Arc<Keeper>,
+        clock: Clock,
+        token: String,
+    ) -> Arc<Admin> {
         let rates = Mutex::default();
-        Arc::new(Admin { handle, door, keeper, clock, token, watchers: v1::watchers(), rates })
+        Arc::new(Admin { handle, life, keeper, clock, token, watchers: v1::watchers(), rates })
     }
 
     async fn call(&self, request: &Request) -> Response {
@@ -122,8 +129,8 @@
         let (method, target) = (request.method.as_str(), request.target.as_str());
         match (method, target) {
             ("GET", "/health") => {
-                let status = if self.door.is_ready() { 200 } else { 503 };
-                return Ok(Response::json(status, json!({ "ready": self.door.is_ready() }).to_string()));
+                let status = if self.life.is_ready() { 200 } else { 503 };
+                return Ok(Response::json(status, json!({ "ready": self.life.is_ready() }).to_string()));
             }
             ("GET", "/v1/openapi.json") => return Ok(Response::json(200, routes::openapi().to_string())),
             _ => {}
--- a/src/admin/v1.rs
+++ b/src/admin/v1.rs
@@ -571,7 +571,7 @@
                 || Problem::new(410, "gone", "changes after that generation are not at hand: list anew");
             let (changes, latest) = seen.await.ok_or_else(gone)?;
             let left = until.saturating_duration_since(Instant::now());
-            if !changes.is_empty() || left.is_zero() || self.door.is_stopping() {
+            if !changes.is_empty() || left.is_zero() || self.life.is_leaving() {
                 let full = changes.len() == PAGE.0;
                 let last = changes.last().and_then(|last| last["record"]["generation"].as_u64());
                 let next = last.filter(|_| full).unwrap_or(latest.0);
--- a/src/config.rs
+++ b/src/config.rs
@@ -35,8 +35,8 @@
 const DEFAULT_SERVICE: &str = "_api._tcp.svc.local";
 /// The keys that are read of the platform's file. It holds more, under names that may be this program's too
 /// (an `admin` that is an address was seen), and what is set up by them is off there.
-const PLATFORM_KEYS: [&str; 8] =
-    ["name", "listen", "seed", "limits", "resolver", "service", "known", "settings"];
+const PLATFORM_KEYS: [&str; 9] =
+    ["name", "listen", "ops", "seed", "limits", "resolver", "service", "known", "settings"];
 
 /// Why the program can't start.
 #[derive(Debug, Error)]
@@ -88,6 +88,8 @@
     pub name: String,
     /// Where HTTP clients connect, if they do.
     pub listen: Option<SocketAddr>,
+    /// The second address, for those who run the program, if it has one.
+    pub ops: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -165,6 +167,8 @@
     name: Option<String>,
     /// Where HTTP clients connect.
     listen: Option<SocketAddr>,
+    /// The second address, for those who run the program: health and drains, without a token.
+    ops: Option<SocketAddr>,
     /// Seed of its random numbers, in hexadecimal; another at each start where it is absent.
     seed: Option<String>,
     /// Limits of the process.
@@ -235,6 +239,11 @@
 }
 
 impl Source {
+    /// Whether the platform tells the configuration, and who reaches which address.
+    fn is_platform(&self) -> bool {
+        matches!(self, Source::Environment) && std::env::var_os("LB_CONFIG").is_some()
+    }
+
     fn value(&self) -> Result<Value, ConfigError> {
         let variable = |key: &str| std::env::var_os(key).map(PathBuf::from);
         let (key, path, json) = match (self, variable("LB_CONFIG"), variable("SANDDYKE_CONFIG")) {
@@ -265,12 +274,17 @@
     /// Reads it.
     pub fn from(source: &Source, clock: &Clock) -> Result<Config, ConfigError> {
         let mut value = source.value()?;
-        for (key, variable) in [("name", "LB_NAME"), ("listen", "LB_LISTEN")] {
+        for (key, variable) in [("name", "LB_NAME"), ("listen", "LB_LISTEN"), ("ops", "LB_OPS")] {
             if let (Ok(told), Some(object)) = (std::env::var(variable), value.as_object_mut()) {
                 object.insert(key.to_owned(), Value::String(told));
             }
         }
-        Config::from_value(&value, clock)
+        let config = Config::from_value(&value, clock)?;
+        if let (Some(address), false) = (config.ops, source.is_platform()) {
+            // Whoever reaches it can send all clients away.
+            loopback("ops", address)?;
+        }
+        Ok(config)
     }
 
     /// Reads it from a value.
@@ -302,6 +316,7 @@
             read: Read(value.clone()),
             name: file.name.unwrap_or_else(|| "sanddyke".to_owned()),
             listen: file.listen,
+            ops: file.ops,
             seed,
             sockets,
             resolver: file.resolver,
@@ -568,6 +583,7 @@
         assert!(with("name", json!("n1")).is_ok());
         let faults = [
             ("listen", json!("nowhere")),
+            ("ops", json!("8080")),
             ("seed", json!("xyz")),
             ("resolver", json!(7)),
             ("limits", json!({"sockets": 3})),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -119,6 +119,7 @@
     timer_count: u64,
     actions: Vec<Action>,
     refusing: bool,
+    end_by: Option<Micros>,
     books: Books,
 }
 
@@ -155,6 +156,7 @@
             timer_count: 0,
             actions: Vec::new(),
             refusing: false,
+            end_by: None,
         }
     }
 
@@ -198,6 +200,7 @@
             }
             Input::Clock => self.due(now, out),
             Input::RefuseNew => self.refusing = true,
+            Input::EndBy(at) => self.end_by = Some(at),
         }
     }
 
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -253,6 +253,8 @@
     Clock,
     /// From now on every new request is refused: the program is about to end.
     RefuseNew,
+    /// The program is ended by force then: no request that comes from now on is given longer.
+    EndBy(Micros),
 }
 
 /// What the core wants done.
--- a/src/front/http/mod.rs
+++ b/src/front/http/mod.rs
@@ -5,9 +5,10 @@
 
 use self::message::{Request, Response, Unreadable};
 use self::pages::Pages;
-use super::{Door, Seat};
+use super::Seat;
 use crate::clock::Micros;
 use crate::core::{Answer, Arrival, Input, Invalid, Row};
+use crate::life::Lifeline;
 use crate::service::Handle;
 use bytes::BytesMut;
 use sanddyke_tenancy::Reason;
@@ -31,15 +32,15 @@
 #[derive(Debug)]
 pub struct Http {
     handle: Handle,
-    door: Door,
+    life: Lifeline,
     pages: Mutex<Pages>,
     page_bytes: usize,
 }
 
 impl Http {
     /// A front that hands requests to the service, and splits results of more than so many bytes.
-    pub fn new(handle: Handle, door: Door, page_bytes: usize) -> Arc<Http> {
-        Arc::new(Http { handle, door, pages: Mutex::default(), page_bytes })
+    pub fn new(handle: Handle, life: Lifeline, page_bytes: usize) -> Arc<Http> {
+        Arc::new(Http { handle, life, pages: Mutex::default(), page_bytes })
     }
 }
 
@@ -94,10 +95,13 @@
     stream.set_nodelay(true)?;
     let mut buffer = BytesMut::with_capacity(4096);
     let mut first = true;
-    while let Some(read) = read_request(&mut stream, &mut buffer, first, message::LONGEST_BODY).await? {
+    let present = front.life.connection();
+    while first || front.goes_on(&mut stream, &mut buffer).await? {
+        let read = read_request(&mut stream, &mut buffer, first, message::LONGEST_BODY).await?;
+        let Some(read) = read else { return Ok(()) };
         first = false;
         seat.busy();
-        let counted = front.door.count();
+        let counted = front.life.request();
         let (response, close) = match read {
             Ok(request) => match front.call(&mut stream, &mut buffer, &request).await {
                 Some(response) => (response, request.close),
@@ -105,15 +109,18 @@
             },
             Err(error) => (unusable(error.status(), &error.to_string()), true),
         };
+        // Ordinary clients follow this, and come back where they are let in.
+        let close = close || !front.life.keeps_connections();
         tokio::time::timeout(WRITE_TIME, stream.write_all(&response.bytes(close))).await??;
         drop(counted);
         if close {
-            seat.ending();
-            return super::linger(&mut stream, &mut buffer).await;
+            break;
         }
         seat.idle();
     }
-    Ok(())
+    drop(present);
+    seat.ending();
+    super::linger(&mut stream, &mut buffer).await
 }
 
 fn unusable(status: u16, why: &str) -> Response {
@@ -134,6 +141,22 @@
 }
 
 impl Http {
+    /// Waits for the first bytes of a further request; false where the client has left, has been idle for too
+    /// long, or is sent away. A request whose bytes are there goes before all that.
+    async fn goes_on(&self, stream: &mut TcpStream, buffer: &mut BytesMut) -> std::io::Result<bool> {
+        if !buffer.is_empty() {
+            return Ok(true);
+        }
+        tokio::select! {
+            biased;
+            read = tokio::time::timeout(IDLE_TIME, stream.read_buf(buffer)) => match read {
+                Ok(read) => Ok(read? > 0),
+                Err(_) => Ok(false),
+            },
+            () = self.life.parted() => Ok(false),
+        }
+    }
+
     async fn call(
         &self,
         stream: &mut TcpStream,
@@ -141,7 +164,7 @@
         request: &Request,
     ) -> Option<Response> {
         match (request.method.as_str(), request.target.as_str()) {
-            ("GET", "/check") if self.door.is_ready() => Some(Response::json(200, "{}".to_owned())),
+            ("GET", "/check") if self.life.is_ready() => Some(Response::json(200, "{}".to_owned())),
             ("GET", "/check") => Some(unusable(503, "not ready")),
             ("POST", target) => match target.strip_prefix("/do/") {
                 Some(class) => match self.arrival(class, request) {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -6,7 +6,6 @@
 use bytes::BytesMut;
 use std::collections::{BTreeSet, HashMap};
 use std::future::Future;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -19,57 +18,6 @@
 /// A client whose connection is younger may have sent a request that is not read yet.
 const ON_ITS_WAY: Duration = Duration::from_millis(500);
 
-/// What the fronts and the rest of the program know of each other.
-#[derive(Debug, Clone, Default)]
-pub struct Door {
-    ready: Arc<AtomicBool>,
-    stopping: Arc<AtomicBool>,
-    unanswered: Arc<AtomicUsize>,
-}
-
-/// A request that a front has read and not yet answered whole.
-#[derive(Debug)]
-pub struct Unanswered(Arc<AtomicUsize>);
-
-impl Door {
-    /// The service takes requests from now on.
-    pub fn open(&self) {
-        self.ready.store(true, Ordering::Relaxed);
-    }
-
-    /// The program is about to end: health checks say so.
-    pub fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether a health check finds the service well.
-    pub fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Relaxed) && !self.is_stopping()
-    }
-
-    /// Whether the program is about to end.
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
-    }
-
-    /// Counts a request until the value is dropped.
-    pub fn count(&self) -> Unanswered {
-        self.unanswered.fetch_add(1, Ordering::Relaxed);
-        Unanswered(self.unanswered.clone())
-    }
-
-    /// Requests read and not yet answered whole.
-    pub fn unanswered(&self) -> usize {
-        self.unanswered.load(Ordering::Relaxed)
-    }
-}
-
-impl Drop for Unanswered {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy)]
 enum Standing {
--- a/src/front/tds/mod.rs
+++ b/src/front/tds/mod.rs
@@ -4,10 +4,11 @@
 mod tls;
 
 use self::tls::Stream;
-use super::{Door, Seat};
+use super::Seat;
 use crate::clock::Micros;
 use crate::core::{Answer, Arrival, Input};
 use crate::directory::Directory;
+use crate::life::Lifeline;
 use crate::service::Handle;
 use crate::statement;
 use crate::tds::login::{self, ENCRYPT_NOT_SUPPORTED, ENCRYPT_ON, ENCRYPT_REQUIRED};
@@ -47,8 +48,8 @@
 pub struct Tds {
     /// The way to the core.
     pub handle: Handle,
-    /// What the fronts share.
-    pub door: Door,
+    /// The program's life.
+    pub life: Lifeline,
     /// What encrypts the wire, where it is encrypted.
     pub tls: Option<Arc<ServerConfig>>,
     /// Who belongs to which tenant.
@@ -109,6 +110,7 @@
 
 async fn serve_one(stream: TcpStream, seat: &Seat, front: &Tds) -> Io<()> {
     stream.set_nodelay(true)?;
+    let _present = front.life.connection();
     let login = tokio::time::timeout(LOGIN_TIME, async {
         let Some(mut connection) = prelogin(stream, front).await? else { return Ok(None) };
         Ok::<_, std::io::Error>(connection.login().await?.map(|tenant| (connection, tenant)))
@@ -154,9 +156,15 @@
         loop {
             seat.idle();
             if self.received.is_empty() {
-                let begun = tokio::time::timeout(IDLE_TIME, self.stream.read_buf(&mut self.received)).await;
-                if begun.map_err(|_| std::io::ErrorKind::TimedOut)?? == 0 {
-                    return Ok(());
+                // TDS has no word for "go elsewhere": a client that is sent away finds its connection closed.
+                tokio::select! {
+                    biased;
+                    begun = tokio::time::timeout(IDLE_TIME, self.stream.read_buf(&mut self.received)) => {
+                        if begun.map_err(|_| std::io::ErrorKind::TimedOut)?? == 0 {
+                            return Ok(());
+                        }
+                    }
+                    () = self.front.life.parted() => return Ok(()),
                 }
             }
             let next = tokio::time::timeout(MESSAGE_TIME, self.next()).await;
@@ -199,7 +207,7 @@
 
     /// Serves one request; false where the connection ends.
     async fn request(&mut self, message: Message, tenant: &str) -> Io<bool> {
-        let counted = self.front.door.count();
+        let counted = self.front.life.request();
         let (to, statement) = match message.kind {
             packet::SQL_BATCH => (To::Batch, token::read_batch(&message.data)),
             packet::RPC => (To::Call, token::read_call(&message.data)),
--- /dev/null
+++ b/src/life.rs
@@ -0,0 +1,170 @@
+//! The program's life ([`sanddyke_life`]) as all its tasks see it: doors and health checks read it, signals and
+//! the second address move it, and connections wait here to be told that they shall end.
+
+use sanddyke_life::{Event, Life, Phase, Refused, Socket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// An open connection that says nothing is closed so long after clients were first sent away. Until then a
+/// request on it is answered, and the connection ends with its answer: fewer requests cross a close. Clients
+/// learn within 0.3 s that they should go elsewhere (they are asked ten times a second, and stop 0.2 s after).
+const PART_AFTER: Duration = Duration::from_millis(500);
+/// Where the socket ends with the process, clients still come for so long after SIGTERM: new connections for
+/// 0.4 s and requests on open ones for a further 0.2 s, as the platform has it, and some more.
+pub const STILL_COMING: Duration = Duration::from_millis(800);
+
+/// The life, and since when it stands where it does.
+#[derive(Debug, Clone, Copy)]
+struct Moment {
+    life: Life,
+    since: Instant,
+}
+
+/// What a program knows of its own life. Clones are of one life.
+#[derive(Debug, Clone)]
+pub struct Lifeline {
+    now: Arc<watch::Sender<Moment>>,
+    unanswered: Arc<AtomicUsize>,
+    connections: Arc<AtomicUsize>,
+}
+
+/// Something of which the program waits for the last before it ends: a request that was read and not yet
+/// answered whole, or a connection that may still bring one.
+#[derive(Debug)]
+pub struct Counted(Arc<AtomicUsize>);
+
+impl Counted {
+    fn new(all: &Arc<AtomicUsize>) -> Counted {
+        all.fetch_add(1, Ordering::Relaxed);
+        Counted(all.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Lifeline {
+    /// The life of a program that has just started.
+    pub fn new(socket: Socket) -> Lifeline {
+        let now = Moment { life: Life::new(socket), since: Instant::now() };
+        let counts = (Arc::default(), Arc::default());
+        Lifeline { now: Arc::new(watch::Sender::new(now)), unanswered: counts.0, connections: counts.1 }
+    }
+
+    /// Tells what has happened; gives the phase that the program is in then, or why it can't be.
+    pub fn apply(&self, event: Event) -> Result<Phase, Refused> {
+        let mut result = Ok(None);
+        self.now.send_if_modified(|moment| {
+            result = moment.life.apply(event);
+            let changed = matches!(result, Ok(Some(_)));
+            if changed {
+                moment.since = Instant::now();
+            }
+            changed
+        });
+        match result? {
+            Some(phase) => log::info!("life: {phase}, by {event:?}"),
+            None => log::debug!("life: {event:?} changes nothing"),
+        }
+        Ok(self.phase())
+    }
+
+    fn life(&self) -> Life {
+        self.now.borrow().life
+    }
+
+    /// Where it stands.
+    pub fn phase(&self) -> Phase {
+        self.life().phase()
+    }
+
+    /// Whether a health check finds the service well.
+    pub fn is_ready(&self) -> bool {
+        self.life().is_ready()
+    }
+
+    /// Whether the program is about to end.
+    pub fn is_leaving(&self) -> bool {
+        self.life().is_leaving()
+    }
+
+    /// Whether new connections are accepted.
+    pub fn takes_connections(&self) -> bool {
+        self.life().takes_connections()
+    }
+
+    /// Whether a connection stays open for its client's next request.
+    pub fn keeps_connections(&self) -> bool {
+        self.life().keeps_connections()
+    }
+
+    /// Ends when an open connection that brings nothing shall be closed.
+    pub async fn parted(&self) {
+        let mut told = self.now.subscribe();
+        loop {
+            let moment = *told.borrow_and_update();
+            let after = match moment.life.phase() {
+                Phase::Starting | Phase::Ready => None,
+                Phase::Stopping => Some(STILL_COMING),
+                Phase::Drained | Phase::HandedOver | Phase::Ended => Some(PART_AFTER),
+            };
+            let parting = async {
+                match after {
+                    Some(after) => tokio::time::sleep_until(moment.since + after).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = parting => return,
+                // The sender is `self`'s: it outlives this.
+                _ = told.changed() => {}
+            }
+        }
+    }
+
+    /// Counts a request until the value is dropped.
+    pub fn request(&self) -> Counted {
+        Counted::new(&self.unanswered)
+    }
+
+    /// Requests read and not yet answered whole.
+    pub fn unanswered(&self) -> usize {
+        self.unanswered.load(Ordering::Relaxed)
+    }
+
+    /// Counts a connection that may bring a request, until the value is dropped.
+    pub fn connection(&self) -> Counted {
+        Counted::new(&self.connections)
+    }
+
+    /// Connections that may bring a request.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against connections that are closed although the drain was taken back, or never told.
+    #[tokio::test(start_paused = true)]
+    async fn connections_part_after_a_drain_and_not_after_it_is_taken_back() {
+        let life = Lifeline::new(Socket::Own);
+        for event in [Event::Listed, Event::Heard, Event::Quiesce] {
+            life.apply(event).unwrap();
+        }
+        let short = Duration::from_millis(400);
+        assert!(tokio::time::timeout(short, life.parted()).await.is_err(), "too soon");
+        life.apply(Event::Resume).unwrap();
+        assert!(tokio::time::timeout(10 * PART_AFTER, life.parted()).await.is_err(), "taken back");
+        life.apply(Event::Quiesce).unwrap();
+        assert!(tokio::time::timeout(2 * PART_AFTER, life.parted()).await.is_ok());
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,11 +11,14 @@
 use sanddyke::config::{Config, Read, Source};
 use sanddyke::core::{Core, EngineNews, Input};
 use sanddyke::discovery::{self, Told};
-use sanddyke::front::Door;
 use sanddyke::front::http::{self, Http};
 use sanddyke::front::tds::{self, Tds};
+use sanddyke::life::{Lifeline, STILL_COMING};
+use sanddyke::ops::{self, Ops, Pulse};
 use sanddyke::service::{self, Handle};
 use sanddyke::tenants::{Failure, Keeper};
+use sanddyke_inherit::Unfit;
+use sanddyke_life::{Event, Refused, Socket};
 use sanddyke_store::{Store, StoreError};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -29,8 +32,13 @@
 use tokio::sync::watch;
 use tokio_rustls::rustls::ServerConfig;
 
-/// After SIGTERM clients still come for so long, and are served like any other.
-const STILL_COMING: Duration = Duration::from_millis(800);
+/// Names the descriptor of the clients' socket, where the platform holds it.
+const ACCEPT_FD: &str = "LB_ACCEPT_FD";
+/// A process whose socket another has is ended by force after the longest deadline, counted as 5 s where it is
+/// longer, and 0.7 s after SIGTERM; of that, so much is kept for answers to leave the machine.
+const FORCED_AFTER: (Micros, Micros, Micros) = (Micros(5_000_000), Micros(700_000), Micros(200_000));
+/// So many descriptors of the second address, of each so many of the process: a sixteenth, 16 to 64.
+const CALLERS: (usize, usize, usize) = (16, 16, 64);
 /// Time in which the last answers leave the machine.
 const LAST_WORDS: Duration = Duration::from_millis(50);
 /// An engine that owes word and says nothing for so long is gone, and so is an answer of which it says nothing
@@ -59,6 +67,14 @@
     Config(#[from] sanddyke::config::ConfigError),
     #[error("listen: can't listen on {0}: {1}")]
     Listen(SocketAddr, std::io::Error),
+    #[error("ops: can't listen on {0}: {1}")]
+    Ops(SocketAddr, std::io::Error),
+    #[error("{ACCEPT_FD}: {0}")]
+    Inherit(#[from] Unfit),
+    #[error("{ACCEPT_FD}: is set, and no address to listen on is told")]
+    InheritNothing,
+    #[error("the life of the program: {0}")]
+    Life(#[from] Refused),
     #[error("{0}")]
     System(#[from] std::io::Error),
     #[error("{0}")]
@@ -93,8 +109,18 @@
 
 fn serve(config: Option<PathBuf>) -> Result<(), Fatal> {
     let source = config.map_or(Source::Environment, Source::File);
+    let clock = Clock::start();
+    let config = Config::from(&source, &clock)?;
+    // Before anything else is opened: an unused number must be found unused.
+    let socket = match (std::env::var(ACCEPT_FD), config.listen) {
+        (Err(_), _) => None,
+        (Ok(_), None) => return Err(Fatal::InheritNothing),
+        (Ok(told), Some(listen)) => {
+            Some(sanddyke_inherit::listener(sanddyke_inherit::number(&told)?, listen)?)
+        }
+    };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(run(source))
+    runtime.block_on(run(source, clock, config, socket))
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, Fatal> {
@@ -132,9 +158,13 @@
 /// What encrypts the administration API.
 type Certificates = watch::Sender<Option<Arc<ServerConfig>>>;
 
-async fn run(source: Source) -> Result<(), Fatal> {
-    let clock = Clock::start();
-    let config = Config::from(&source, &clock)?;
+async fn run(
+    source: Source,
+    clock: Clock,
+    config: Config,
+    socket: Option<std::net::TcpListener>,
+) -> Result<(), Fatal> {
+    let life = Lifeline::new(if socket.is_some() { Socket::Shared } else { Socket::Own });
     let document = config.document();
     let mut read = config.read.clone();
     let mut terminated = signal(SignalKind::terminate())?;
@@ -158,6 +188,9 @@
         },
     };
     let backs = Backs::new(config.wire, handle.clone(), clock, limits);
+    // As the platform counts it when it ends the process by force.
+    let deadlines = config.front.settings.classes.iter().map(|class| Micros::from_ms(class.deadline_ms));
+    let longest = deadlines.max().unwrap_or(FORCED_AFTER.0);
     let held = config.store.as_ref().map(|store| Store::open(&store.path)).transpose()?;
     let mut told = config.front;
     told.settings.limits.max_open = Some(config.sockets / CLIENTS_PART);
@@ -172,24 +205,32 @@
     let backups = config.store.and_then(|store| store.backups);
     tokio::spawn(service::run(core, clock, queue, backs));
     handle.tell(Input::Engines(EngineNews::Start(config.listed.engines()))).await?;
+    if let Some(address) = config.ops {
+        let ops = Ops { life: life.clone(), pulse: Pulse::default(), clock };
+        tokio::spawn(ops.pulse.clone().run(handle.clone(), clock));
+        let callers = (config.sockets / CALLERS.0).clamp(CALLERS.1, CALLERS.2);
+        ops::start(address, ops, callers).map_err(|error| Fatal::Ops(address, error))?;
+    }
     let keeper = Keeper::start(held, &document, backups, handle.clone(), config.known, clock).await?;
     let certificates: Certificates = watch::Sender::new(None);
     let told = Told { resolver: config.resolver, service: config.service, listed: config.listed };
     let (names, names_told) = watch::channel(told);
     tokio::spawn(discovery::run(names_told, handle.clone(), clock, config.seed));
-    let door = Door::default();
     let mut fronts = Vec::new();
     let places = config.sockets - config.sockets.min(RESERVED) / 2;
     if let Some(address) = config.listen {
-        let listener = bind(address).await?;
-        let front = Http::new(handle.clone(), door.clone(), config.page_bytes);
+        let listener = match socket {
+            Some(socket) => TcpListener::from_std(socket)?,
+            None => bind(address).await?,
+        };
+        let front = Http::new(handle.clone(), life.clone(), config.page_bytes);
         fronts.push(tokio::spawn(http::serve(listener, front, places)));
     }
     if let Some(told) = config.tds {
         let listener = bind(told.listen).await?;
         let front = Tds {
             handle: handle.clone(),
-            door: door.clone(),
+            life: life.clone(),
             directory: told.directory,
             tls: told.tls,
             class: told.class,
@@ -202,26 +243,43 @@
     if let Some(told) = config.admin {
         let listener = bind(told.listen).await?;
         certificates.send_replace(told.tls);
-        let api = Admin::new(handle.clone(), door.clone(), keeper, clock, told.token);
+        let api = Admin::new(handle.clone(), life.clone(), keeper, clock, told.token);
         fronts.push(tokio::spawn(admin::serve(listener, api, certificates.subscribe())));
     }
-    door.open();
+    for event in [Event::Listed, Event::Heard] {
+        life.apply(event)?;
+    }
     log::info!("{} is ready", config.name);
     loop {
         tokio::select! {
             _ = terminated.recv() => break,
-            _ = reloaded.recv() => reload(&mut read, &source, &clock, &names, &certificates),
+            _ = reloaded.recv() => match life.apply(Event::Reload) {
+                Ok(_) => reload(&mut read, &source, &clock, &names, &certificates),
+                Err(why) => log::warn!("SIGHUP: {why}"),
+            },
         }
     }
     log::info!("SIGTERM: finishing what is open");
-    door.stop();
-    tokio::time::sleep(STILL_COMING).await;
-    handle.tell(Input::RefuseNew).await?;
-    fronts.iter().for_each(|front| front.abort());
-    while handle.open().await? > 0 || door.unanswered() > 0 {
+    life.apply(Event::Terminate)?;
+    if life.takes_connections() {
+        tokio::time::sleep(STILL_COMING).await;
+        handle.tell(Input::RefuseNew).await?;
+        fronts.iter().for_each(|front| front.abort());
+    } else {
+        // Others accept on the socket. What was accepted here is served to its end, also a request whose client
+        // is still writing it.
+        fronts.iter().for_each(|front| front.abort());
+        let (most, after, words) = FORCED_AFTER;
+        handle.tell(Input::EndBy(clock.now() + longest.min(most) + after - words)).await?;
+        while life.connections() > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    while handle.open().await? > 0 || life.unanswered() > 0 {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     tokio::time::sleep(LAST_WORDS).await;
+    life.apply(Event::LastAnswer)?;
     log::info!("all is answered");
     Ok(())
 }
--- a/tests/common/engines.rs
+++ b/tests/common/engines.rs
@@ -1,5 +1,5 @@
 //! Stand-in engines on lines and on TDS. What a statement holds decides what they do with it: `ok`, `big`,
-//! `fail`, `full`, `die`, `garble`, `torn`, `huge`, `twice`, `mute`, `trickle`, and `slow`, which runs until it is stopped.
+//! `fail`, `full`, `die`, `garble`, `torn`, `huge`, `twice`, `mute`, `trickle`, `nap`, which takes 0.3 s, and `slow`, which runs until it is stopped.
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -85,6 +85,12 @@
             while out.write_all(b"x").is_ok() {
                 std::thread::sleep(std::time::Duration::from_millis(100));
             }
+        } else if has("nap") {
+            let (mut out, id) = (out.try_clone()?, id.to_owned());
+            std::thread::spawn(move || {
+                std::thread::sleep(std::time::Duration::from_millis(300));
+                write!(out, "{id} 200 sheets=1,toil=100,room=8 4\r\na\tb\n\r\n")
+            });
         } else if has("slow") {
             write!(out, "{id} status n=share,val=0.1 0\r\n\r\n")?;
         } else if has("fail") {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,8 +7,10 @@
 
 use serde_json::{Value, json};
 use std::io::{Read, Write};
-use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
@@ -56,8 +58,9 @@
     pub http: SocketAddr,
     pub tds: SocketAddr,
     pub admin: SocketAddr,
+    pub ops: SocketAddr,
     config: Value,
-    files: tempdir::Dir,
+    files: Arc<tempdir::Dir>,
 }
 
 /// A folder of this test's own that goes with it.
@@ -94,6 +97,7 @@
         "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"snapshot": true, "endpoints": endpoints}}]},
         "tds": {"listen": tds.to_string()},
         "admin": {"listen": admin.to_string(), "token_file": folder.join("token")},
+        "ops": SocketAddr::new(own, 19000).to_string(),
     });
     for (key, value) in more.as_object().unwrap() {
         match (config.get_mut(key).and_then(Value::as_object_mut), value.as_object()) {
@@ -102,19 +106,63 @@
         }
     }
     std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
-    let child = Command::new(env!("CARGO_BIN_EXE_sanddyke"))
-        .arg("--config")
-        .arg(folder.join("config.json"))
-        .stderr(Stdio::inherit())
-        .spawn()
-        .unwrap();
-    let program = Program { child, http, tds, admin, config, files: tempdir::Dir(folder) };
+    let files = Arc::new(tempdir::Dir(folder));
+    let child = spawn(&files.0.join("config.json"), None, &[]);
+    let ops = SocketAddr::new(own, 19000);
+    let program = Program { child, http, tds, admin, ops, config, files };
     until("the program is ready", || {
         TcpStream::connect(http).is_ok() && program.call("GET", "/check", &[], "").status == 200
     });
     program
 }
 
+/// Starts a process; with a socket, as descriptor 3, which `LB_ACCEPT_FD` names.
+pub fn spawn(config: &std::path::Path, socket: Option<&TcpListener>, more: &[(&str, &str)]) -> Child {
+    let program = env!("CARGO_BIN_EXE_sanddyke");
+    let mut command = match socket {
+        None => Command::new(program),
+        Some(socket) => {
+            let mut shell = Command::new("sh");
+            shell.args(["-c", "exec \"$0\" \"$@\" 3<&0 </dev/null", program]);
+            shell.stdin(Stdio::from(OwnedFd::from(socket.try_clone().unwrap()))).env("LB_ACCEPT_FD", "3");
+            shell
+        }
+    };
+    command.arg("--config").arg(config).envs(more.iter().copied()).stderr(Stdio::inherit()).spawn().unwrap()
+}
+
+/// Programs of one configuration on one listening socket, which the test holds as the platform does.
+pub struct Held {
+    pub socket: TcpListener,
+    config: Value,
+    files: Arc<tempdir::Dir>,
+}
+
+/// Such a socket, and a configuration on the engines with more keys.
+pub fn held(engines: &[SocketAddr], more: Value) -> Held {
+    let program = start(engines, more);
+    let (config, files) = (program.config.clone(), program.files.clone());
+    drop(program);
+    let listen: SocketAddr = config["listen"].as_str().unwrap().parse().unwrap();
+    Held { socket: TcpListener::bind(listen).unwrap(), config, files }
+}
+
+impl Held {
+    /// Starts a program on the socket, with a second address of its own.
+    pub fn start(&self) -> Program {
+        let own = own_address();
+        let (http, ops) = (self.socket.local_addr().unwrap(), SocketAddr::new(own, 19000));
+        let mut config = self.config.clone();
+        // Listeners that are not handed over would meet those of the other process.
+        (config["tds"], config["admin"]) = (Value::Null, Value::Null);
+        let path = self.files.0.join(format!("{own}.json"));
+        std::fs::write(&path, config.to_string()).unwrap();
+        let more = [("LB_OPS", &*ops.to_string()), ("TMPDIR", self.files.0.to_str().unwrap())];
+        let child = spawn(&path, Some(&self.socket), &more);
+        Program { child, http, tds: http, admin: http, ops, config, files: self.files.clone() }
+    }
+}
+
 impl Drop for Program {
     fn drop(&mut self) {
         let _gone = self.child.kill();
@@ -189,11 +237,29 @@
         read_reply(&mut stream).expect("an answer")
     }
 
+    /// A call at the second address; `None` where it can't be reached.
+    pub fn ops(&self, method: &str, target: &str) -> Option<Reply> {
+        let mut stream = TcpStream::connect(self.ops).ok()?;
+        stream.write_all(request(method, target, &[], "").as_bytes()).ok()?;
+        read_reply(&mut stream)
+    }
+
+    /// What the second address says of its health.
+    pub fn health(&self) -> Option<(u16, String)> {
+        let reply = self.ops("GET", "/admin/health")?;
+        Some((reply.status, reply.json()["state"].as_str().unwrap().to_owned()))
+    }
+
     fn signal(&self, name: &str) {
         let kill = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
         assert!(kill.success());
     }
 
+    /// Stops it, or has it go on.
+    pub fn pause(&self, paused: bool) {
+        self.signal(if paused { "-STOP" } else { "-CONT" });
+    }
+
     /// Ends it at once, whatever it is doing.
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
