What was learnt passes to a new version, which is ready once its engines were heard

Need: a new version under load says yes only when it could serve as well as the old one. It started with the module's first guesses (a load's work 3.0 s against 3.7 to 7.6 s told by answers), and said yes before any engine had spoken.

Damaged, newer or over 30 s old: left out with one line. Figures are cut to the module's own bounds, and an engine can only become colder by it. The new one waits until three in four engines have answered, 2 s at most, and accepts no connection before.

Not taken: a word between the two processes (none is allowed on the platform, and the old one may be gone); the whole state of the module (moments of another clock, and requests that are not the new one's); a file for the core alone (the module knows what it learnt).

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod names;
 pub mod program;
 pub mod report;
+pub mod second;
 
 use client::Outcome;
 use engine::Spec;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use sanddyke_rig::experiment::Experiment;
 use sanddyke_rig::report::Report;
-use sanddyke_rig::{RigError, run};
+use sanddyke_rig::{RigError, run, second};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -12,7 +12,7 @@
 #[command(
     version,
     after_help = "Exit codes: 0 done; 1 the experiment could not be run; 2 the command line is \
-wrong; 3 a tenant's service was off its share by more than the experiment allows."
+wrong; 3 a tenant's service was off its share by more than the experiment allows, or an answer was late."
 )]
 struct Arguments {
     #[command(subcommand)]
@@ -36,6 +36,31 @@
         #[arg(long)]
         json: bool,
     },
+    /// Measure how long the second address takes to answer, under four conditions. Needs taskset.
+    #[command(after_help = "Example:\n  sanddyke-rig second --seconds 30 --out docs/measurements")]
+    Second {
+        /// The program.
+        #[arg(long, default_value = "target/release/sanddyke")]
+        program: PathBuf,
+        /// How long each condition is measured.
+        #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(1..=300))]
+        seconds: u64,
+        /// Where the table and the chart are written.
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+}
+
+fn measure_second(program: &Path, seconds: u64, out: Option<PathBuf>) -> Result<bool, RigError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let rows = runtime.block_on(second::run(program, seconds))?;
+    print!("{}", second::csv(&rows));
+    if let Some(folder) = out {
+        std::fs::create_dir_all(&folder)?;
+        std::fs::write(folder.join("second.csv"), second::csv(&rows))?;
+        second::chart(&rows, &folder.join("second.svg"))?;
+    }
+    Ok(rows.iter().all(|row| row.late == 0))
 }
 
 fn keep(report: &Report, folder: &Path, name: &str) -> Result<(), RigError> {
@@ -70,7 +95,19 @@
 }
 
 fn main() -> ExitCode {
-    let Command::Run { file, program, out, json } = Arguments::parse().command;
+    let (file, program, out, json) = match Arguments::parse().command {
+        Command::Run { file, program, out, json } => (file, program, out, json),
+        Command::Second { program, seconds, out } => {
+            return match measure_second(&program, seconds, out) {
+                Ok(true) => ExitCode::SUCCESS,
+                Ok(false) => ExitCode::from(3),
+                Err(error) => {
+                    eprintln!("sanddyke-rig: {error}");
+                    ExitCode::FAILURE
+                }
+            };
+        }
+    };
     let ran = Experiment::read(&file).and_then(|experiment| {
         let allowed = experiment.within_points;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
--- a/crates/rig/src/program.rs
+++ b/crates/rig/src/program.rs
@@ -25,6 +25,8 @@
     child: Child,
     /// Where clients connect.
     pub http: SocketAddr,
+    /// The second address.
+    pub ops: SocketAddr,
     admin: SocketAddr,
     _folder: TempDir,
 }
@@ -63,13 +65,14 @@
         // No two programs of this process, or of another, race for a port.
         let own = IpAddr::from([127, 77 + STARTED.fetch_add(1, Ordering::Relaxed) % 100, a, b]);
         let (http, admin) = (SocketAddr::new(own, 8080), SocketAddr::new(own, 8081));
+        let ops = SocketAddr::new(own, 19000);
         std::fs::write(folder.path().join("token"), TOKEN)?;
         let endpoints = engines.iter().enumerate().map(|(number, address)| {
             json!({"name": format!("e{number}"), "address": address.to_string(), "zone": "a", "type": "std"})
         });
         let pool = json!({"snapshot": true, "endpoints": endpoints.collect::<Vec<_>>()});
         let config = json!({
-            "name": "rig", "listen": http.to_string(), "seed": format!("{:x}", experiment.seed),
+            "name": "rig", "listen": http.to_string(), "ops": ops.to_string(), "seed": format!("{:x}", experiment.seed),
             "limits": {"sockets": SOCKETS}, "resolver": names.to_string(), "settings": settings(experiment),
             "known": {"rev": 1, "notices": [{"rev": 1, "pool": pool}]},
             "admin": {"listen": admin.to_string(), "token_file": folder.path().join("token")},
@@ -81,7 +84,7 @@
         command.arg("--config").arg(&path).env("RUST_LOG", "warn").kill_on_drop(true);
         let child =
             command.spawn().map_err(|error| RigError::Program(format!("{}: {error}", binary.display())))?;
-        let mut program = Program { child, http, admin, _folder: folder };
+        let mut program = Program { child, http, ops, admin, _folder: folder };
         let ready = tokio::time::timeout(READY_WITHIN, async {
             while TcpStream::connect(program.admin).await.is_err() {
                 tokio::time::sleep(Duration::from_millis(10)).await;
@@ -94,6 +97,11 @@
         Ok(program)
     }
 
+    /// Its process.
+    pub fn id(&self) -> u32 {
+        self.child.id().unwrap_or(0)
+    }
+
     async fn import(&self, experiment: &Experiment) -> Result<(), RigError> {
         let mut text = "format = 1\n".to_owned();
         let groups: std::collections::BTreeSet<&String> =
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -182,3 +182,38 @@
         root.present().map_err(|error| failed(error.to_string()))
     }
 }
+
+/// Groups of bars on a logarithmic scale, one group a row.
+pub fn bars(title: &str, names: &[&str], rows: &[(String, [f64; 3])], path: &Path) -> Result<(), RigError> {
+    let failed = |error: String| RigError::Chart(error);
+    let root = SVGBackend::new(path, (900, 480)).into_drawing_area();
+    root.fill(&WHITE).map_err(|error| failed(error.to_string()))?;
+    let all = || rows.iter().flat_map(|(_, values)| values.iter().copied());
+    let least = all().fold(f64::INFINITY, f64::min).max(0.001) / 2.0;
+    let most = all().fold(0.01, f64::max) * 2.0;
+    let mut chart = ChartBuilder::on(&root)
+        .caption(title, ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(36)
+        .y_label_area_size(56)
+        .build_cartesian_2d(0.0..rows.len() as f64, (least..most).log_scale())
+        .map_err(|error| failed(error.to_string()))?;
+    let label = |at: &f64| rows.get(*at as usize).map_or(String::new(), |(name, _)| name.clone());
+    let mut mesh = chart.configure_mesh();
+    let drawn = mesh.disable_x_mesh().x_labels(rows.len()).x_label_formatter(&label).draw();
+    drawn.map_err(|error| failed(error.to_string()))?;
+    for (index, name) in names.iter().enumerate() {
+        let color = Palette99::pick(index).to_rgba();
+        let bar = |(at, (_, values)): (usize, &(String, [f64; 3]))| {
+            let from = at as f64 + 0.1 + 0.27 * index as f64;
+            Rectangle::new([(from, least), (from + 0.25, values[index].max(least))], color.filled())
+        };
+        let drawn = chart.draw_series(rows.iter().enumerate().map(bar));
+        let legend = move |(x, y)| Rectangle::new([(x, y - 5), (x + 12, y + 5)], color.filled());
+        drawn.map_err(|error| failed(error.to_string()))?.label(*name).legend(legend);
+    }
+    let mut labels = chart.configure_series_labels();
+    let drawn = labels.background_style(WHITE.mix(0.8)).border_style(BLACK).draw();
+    drawn.map_err(|error| failed(error.to_string()))?;
+    root.present().map_err(|error| failed(error.to_string()))
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod book;
+mod handover;
 mod relay;
 mod route;
 mod send;
@@ -13,6 +14,7 @@
 mod types;
 
 pub use book::{Books, Tally};
+pub use handover::Handover;
 pub use take_in::Invalid;
 pub use types::*;
 
@@ -94,6 +96,8 @@
     state: EngineState,
     /// Attempts that are out there.
     out: usize,
+    /// It has answered a probe or a request.
+    heard: bool,
 }
 
 /// Start and factor of the FNV-1a hash.
@@ -196,8 +200,12 @@
                     elapsed_ms: elapsed.as_ms(),
                     report,
                 };
+                if let Some(known) = self.engines.get_mut(&engine) {
+                    known.heard |= end == ConnectionEnd::Answered;
+                }
                 self.decide(now, event, out);
             }
+            Input::Learnt(handover, age) => self.go_on_from(&handover, age),
             Input::Clock => self.due(now, out),
             Input::RefuseNew => self.refusing = true,
             Input::EndBy(at) => self.end_by = Some(at),
@@ -252,9 +260,7 @@
         };
         let mut entries = Vec::with_capacity(told.len());
         for engine in told {
-            // All workload managers give an engine the same number, in whatever order they hear of it.
-            let id =
-                engine.name.bytes().fold(FNV.0, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(FNV.1));
+            let id = handover::engine_number(&engine.name);
             entries.push(EngineEntry {
                 id: crate::interface::EngineId(id),
                 started_at: engine.started.map(Micros::as_ms),
@@ -270,9 +276,9 @@
                 address: engine.address,
                 state: engine.state,
             });
-            let out = self.engines.get(&id).map_or(0, |known| known.out);
+            let (out, heard) = self.engines.get(&id).map_or((0, false), |known| (known.out, known.heard));
             let (name, zone, kind) = (engine.name, engine.zone, engine.kind);
-            self.engines.insert(id, KnownEngine { name, zone, kind, state: engine.state, out });
+            self.engines.insert(id, KnownEngine { name, zone, kind, state: engine.state, out, heard });
         }
         let news = form(entries);
         if let ListNews::Replace(entries) | ListNews::Restored(entries) = &news {
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -1,6 +1,6 @@
 //! What goes into and comes out of the core: neutral types that no wire shows in.
 
-use super::{Invalid, Tally};
+use super::{Handover, Invalid, Tally};
 use crate::clock::Micros;
 use crate::interface::{EngineState, LoadReport, Note, Outcome, Usage};
 use sanddyke_tenancy::{Reason, State, Tenant, TenantId};
@@ -249,6 +249,8 @@
         /// How long it took.
         elapsed: Micros,
     },
+    /// What another process has learnt, so long ago.
+    Learnt(Box<Handover>, Micros),
     /// Time has passed.
     Clock,
     /// From now on every new request is refused: the program is about to end.
--- /dev/null
+++ b/src/handover.rs
@@ -0,0 +1,89 @@
+//! What one process of this program leaves for the next under the same name and socket: read at the start,
+//! written once a second while it serves. Off where the socket is the process's own, or `$TMPDIR` is not set.
+
+use crate::clock::{Clock, Micros};
+use crate::core::{Handover, Input};
+use crate::life::Lifeline;
+use crate::service::{Ended, Handle};
+use sanddyke_snapshot::Place;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Time between two snapshots.
+const EVERY: Duration = Duration::from_secs(1);
+/// What is older tells of other traffic: rates are over 2 s and windows over 10 s. A new version is up within 6 s.
+const OLDEST: Duration = Duration::from_secs(30);
+/// A new version says yes after so long at the latest, also where engines say nothing: it must within 6 s.
+const HEARD_WITHIN: Micros = Micros(2_000_000);
+/// Time between two looks whether engines were heard.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
+/// Where snapshots of a manager of this name are kept, if they are.
+pub fn place(name: &str) -> Option<Place> {
+    let folder = PathBuf::from(std::env::var_os("TMPDIR")?);
+    Some(Place::new(&folder, name))
+}
+
+/// Has the service go on from the snapshot that is there. One that can't be used costs one line in the log.
+pub async fn take(place: &Place, handle: &Handle, clock: &Clock) -> Result<(), Ended> {
+    if let Err(error) = place.sweep() {
+        log::warn!("handover: what was left aside stays: {error}");
+    }
+    let found = match place.read(clock.unix_ms(), OLDEST) {
+        Ok(None) => return Ok(()),
+        Ok(Some((payload, age))) => serde_json::from_slice::<Handover>(&payload)
+            .map(|handover| (handover, age))
+            .map_err(|error| error.to_string()),
+        Err(unfit) => Err(unfit.to_string()),
+    };
+    match found {
+        Ok((handover, age)) => {
+            let (classes, engines) = (handover.classes.len(), handover.engines.len());
+            let ms = age.as_millis();
+            log::info!("handover: goes on from {classes} classes and {engines} engines, {ms} ms old");
+            let age = Micros(i64::try_from(age.as_micros()).unwrap_or(i64::MAX));
+            handle.tell(Input::Learnt(Box::new(handover), age)).await
+        }
+        Err(why) => {
+            log::warn!("handover: a snapshot is left out: {why}");
+            Ok(())
+        }
+    }
+}
+
+/// Leaves snapshots until the program is about to end: from then on, they are the next one's to write.
+pub async fn keep(place: Place, handle: Handle, clock: Clock, life: Lifeline) {
+    let mut well = true;
+    loop {
+        tokio::time::sleep(EVERY).await;
+        let Ok(handover) = handle.learnt().await else { return };
+        if life.is_leaving() {
+            return;
+        }
+        let place = place.clone();
+        let written = tokio::task::spawn_blocking(move || {
+            let payload = serde_json::to_vec(&handover).map_err(|error| error.to_string())?;
+            place.write(&payload, clock.unix_ms()).map_err(|error| error.to_string())
+        });
+        let written = written.await.unwrap_or_else(|error| Err(error.to_string()));
+        match &written {
+            Err(why) if well => log::warn!("handover: no snapshot is left: {why}"),
+            Ok(()) if !well => log::info!("handover: snapshots are left again"),
+            _ => {}
+        }
+        well = written.is_ok();
+    }
+}
+
+/// Waits until enough engines were heard, or it has taken too long.
+pub async fn heard(handle: &Handle, clock: &Clock) -> Result<(), Ended> {
+    let until = clock.now() + HEARD_WITHIN;
+    while !handle.heard().await? {
+        if clock.now() >= until {
+            log::warn!("most engines have said nothing yet: ready without their word");
+            break;
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod directory;
 pub mod discovery;
 pub mod front;
+pub mod handover;
 pub mod interface;
 pub mod life;
 pub mod logic;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -881,7 +881,6 @@
         // Loads on one data set run one after another on each engine: those past their aim only hold places.
         let slots = self.engines.values().filter(up).count().max(1) as f64;
         let mut queues: BTreeMap<u64, f64> = BTreeMap::new();
-        let excess = self.excess();
         let (mut ahead, mut late) = (0.0, Vec::new());
         for id in self.queue.sorted().into_iter().map(RequestId) {
             let job = &self.jobs[&id];
@@ -891,7 +890,7 @@
                 std::mem::replace(queue, *queue + 1.0)
             });
             let turn = self.classes[job.class].elapsed.max(alone(job)) * (1.0 + queue / slots);
-            let blocked = excess > 0 && job.data_set.is_some_and(|set| self.is_held(set));
+            let blocked = self.excess() > 0 && job.data_set.is_some_and(|set| self.is_held(set));
             let stands = blocked || (queue > 0.0 && self.now + turn > job.aim_at);
             if stands || end > job.deadline || (end > job.aim_at && (job.rank.0 >= BEYOND_BAND)) {
                 over.push(id);
@@ -904,9 +903,9 @@
         // Once crowded, a place is worth the mean of what is open: what is worth less leaves it, last first.
         let worth = |id: &RequestId| self.settings.classes[self.jobs[id].class].worth;
         let mean = self.jobs.keys().map(worth).sum::<f64>() / self.jobs.len().max(1) as f64;
-        let held =
-            self.queue.sorted().into_iter().map(RequestId).chain(self.sensitive.iter().map(|(_, id)| *id));
-        over.extend(held.rev().filter(|id| worth(id) < mean).take(excess.saturating_sub(over.len())));
+        let all =
+            self.queue.sorted().into_iter().map(RequestId).chain(self.sensitive.iter().map(|one| one.1));
+        over.extend(all.rev().filter(|id| worth(id) < mean).take(self.excess().saturating_sub(over.len())));
         for id in late {
             self.unhold(id);
             self.jobs.entry(id).and_modify(|job| job.rank.0 |= LATE_BAND);
@@ -1013,5 +1012,6 @@
     }
 }
 
+pub mod learnt;
 #[cfg(test)]
 mod tests;
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,6 +13,7 @@
 use sanddyke::discovery::{self, Told};
 use sanddyke::front::http::{self, Http};
 use sanddyke::front::tds::{self, Tds};
+use sanddyke::handover;
 use sanddyke::life::{Lifeline, STILL_COMING};
 use sanddyke::ops::{self, Ops, Pulse};
 use sanddyke::service::{self, Handle};
@@ -191,6 +192,7 @@
     // As the platform counts it when it ends the process by force.
     let deadlines = config.front.settings.classes.iter().map(|class| Micros::from_ms(class.deadline_ms));
     let longest = deadlines.max().unwrap_or(FORCED_AFTER.0);
+    let shared = socket.is_some();
     let held = config.store.as_ref().map(|store| Store::open(&store.path)).transpose()?;
     let mut told = config.front;
     told.settings.limits.max_open = Some(config.sockets / CLIENTS_PART);
@@ -211,11 +213,19 @@
         let callers = (config.sockets / CALLERS.0).clamp(CALLERS.1, CALLERS.2);
         ops::start(address, ops, callers).map_err(|error| Fatal::Ops(address, error))?;
     }
+    let left = handover::place(&config.name).filter(|_| shared);
+    if let Some(place) = &left {
+        handover::take(place, &handle, &clock).await?;
+    }
     let keeper = Keeper::start(held, &document, backups, handle.clone(), config.known, clock).await?;
     let certificates: Certificates = watch::Sender::new(None);
     let told = Told { resolver: config.resolver, service: config.service, listed: config.listed };
     let (names, names_told) = watch::channel(told);
     tokio::spawn(discovery::run(names_told, handle.clone(), clock, config.seed));
+    if shared {
+        // Another process serves until this one says that it is ready.
+        handover::heard(&handle, &clock).await?;
+    }
     let mut fronts = Vec::new();
     let places = config.sockets - config.sockets.min(RESERVED) / 2;
     if let Some(address) = config.listen {
@@ -249,6 +259,9 @@
     for event in [Event::Listed, Event::Heard] {
         life.apply(event)?;
     }
+    if let Some(place) = left {
+        tokio::spawn(handover::keep(place, handle.clone(), clock, life.clone()));
+    }
     log::info!("{} is ready", config.name);
     loop {
         tokio::select! {
--- a/src/service.rs
+++ b/src/service.rs
@@ -3,7 +3,7 @@
 
 use crate::back::Backs;
 use crate::clock::{Clock, Micros};
-use crate::core::{Answer, Arrival, Command, Core, Input, Report, TenantReport};
+use crate::core::{Answer, Arrival, Command, Core, Handover, Input, Report, TenantReport};
 use sanddyke_tenancy::TenantId;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -31,6 +31,10 @@
     Usage(Vec<TenantId>, oneshot::Sender<HashMap<TenantId, TenantReport>>),
     /// How many requests are owed an answer.
     Open(oneshot::Sender<usize>),
+    /// Whether enough engines were heard.
+    Heard(oneshot::Sender<bool>),
+    /// What was learnt.
+    Learnt(oneshot::Sender<Handover>),
 }
 
 /// The service has ended.
@@ -79,25 +83,36 @@
         Ok(Asked { request, answer })
     }
 
+    /// Sends a question, and waits for its answer.
+    async fn question<T>(&self, of: impl FnOnce(oneshot::Sender<T>) -> Message) -> Result<T, Ended> {
+        let (reply, answer) = oneshot::channel();
+        self.send(of(reply)).await?;
+        answer.await.map_err(|_| Ended)
+    }
+
     /// The state, as an operator sees it.
     pub async fn inspect(&self) -> Result<Report, Ended> {
-        let (reply, report) = oneshot::channel();
-        self.send(Message::Inspect(reply)).await?;
-        report.await.map_err(|_| Ended)
+        self.question(Message::Inspect).await
     }
 
     /// What is under way of these tenants.
     pub async fn usage(&self, ids: Vec<TenantId>) -> Result<HashMap<TenantId, TenantReport>, Ended> {
-        let (reply, usage) = oneshot::channel();
-        self.send(Message::Usage(ids, reply)).await?;
-        usage.await.map_err(|_| Ended)
+        self.question(|reply| Message::Usage(ids, reply)).await
     }
 
     /// How many requests are owed an answer.
     pub async fn open(&self) -> Result<usize, Ended> {
-        let (reply, open) = oneshot::channel();
-        self.send(Message::Open(reply)).await?;
-        open.await.map_err(|_| Ended)
+        self.question(Message::Open).await
+    }
+
+    /// Whether most engines have answered something.
+    pub async fn heard(&self) -> Result<bool, Ended> {
+        self.question(Message::Heard).await
+    }
+
+    /// What was learnt, for a process that takes over.
+    pub async fn learnt(&self) -> Result<Handover, Ended> {
+        self.question(Message::Learnt).await
     }
 }
 
@@ -131,6 +146,8 @@
                 Message::Inspect(reply) => drop(reply.send(core.report(now))),
                 Message::Usage(ids, reply) => drop(reply.send(core.usage(&ids))),
                 Message::Open(reply) => drop(reply.send(core.open())),
+                Message::Heard(reply) => drop(reply.send(core.is_heard())),
+                Message::Learnt(reply) => drop(reply.send(core.learnt())),
             }
         }
         if now >= state_at {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -107,7 +107,7 @@
     }
     std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
     let files = Arc::new(tempdir::Dir(folder));
-    let child = spawn(&files.0.join("config.json"), None, &[]);
+    let child = spawn(&files.0.join("config.json"), None, &[], Stdio::inherit());
     let ops = SocketAddr::new(own, 19000);
     let program = Program { child, http, tds, admin, ops, config, files };
     until("the program is ready", || {
@@ -117,7 +117,12 @@
 }
 
 /// Starts a process; with a socket, as descriptor 3, which `LB_ACCEPT_FD` names.
-pub fn spawn(config: &std::path::Path, socket: Option<&TcpListener>, more: &[(&str, &str)]) -> Child {
+pub fn spawn(
+    config: &std::path::Path,
+    socket: Option<&TcpListener>,
+    more: &[(&str, &str)],
+    log: Stdio,
+) -> Child {
     let program = env!("CARGO_BIN_EXE_sanddyke");
     let mut command = match socket {
         None => Command::new(program),
@@ -128,7 +133,7 @@
             shell
         }
     };
-    command.arg("--config").arg(config).envs(more.iter().copied()).stderr(Stdio::inherit()).spawn().unwrap()
+    command.arg("--config").arg(config).envs(more.iter().copied()).stderr(log).spawn().unwrap()
 }
 
 /// Programs of one configuration on one listening socket, which the test holds as the platform does.
@@ -150,6 +155,16 @@
 impl Held {
     /// Starts a program on the socket, with a second address of its own.
     pub fn start(&self) -> Program {
+        self.start_with(&[], None)
+    }
+
+    /// The folder that all of them share.
+    pub fn folder(&self) -> &std::path::Path {
+        &self.files.0
+    }
+
+    /// Starts one with more variables, and its log in a file.
+    pub fn start_with(&self, more: &[(&str, &str)], log: Option<&std::path::Path>) -> Program {
         let own = own_address();
         let (http, ops) = (self.socket.local_addr().unwrap(), SocketAddr::new(own, 19000));
         let mut config = self.config.clone();
@@ -157,8 +172,11 @@
         (config["tds"], config["admin"]) = (Value::Null, Value::Null);
         let path = self.files.0.join(format!("{own}.json"));
         std::fs::write(&path, config.to_string()).unwrap();
-        let more = [("LB_OPS", &*ops.to_string()), ("TMPDIR", self.files.0.to_str().unwrap())];
-        let child = spawn(&path, Some(&self.socket), &more);
+        let address = ops.to_string();
+        let mut all = vec![("LB_OPS", address.as_str()), ("TMPDIR", self.files.0.to_str().unwrap())];
+        all.extend(more);
+        let log = log.map_or(Stdio::inherit(), |path| std::fs::File::create(path).unwrap().into());
+        let child = spawn(&path, Some(&self.socket), &all, log);
         Program { child, http, tds: http, admin: http, ops, config, files: self.files.clone() }
     }
 }
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -266,3 +266,112 @@
     let key = if variable == "LB_OPS" { "ops: " } else { "LB_ACCEPT_FD: " };
     assert!(said.contains(key), "{said}");
 }
+
+/// What is left in the folder that both versions share.
+fn left(held: &common::Held) -> std::path::PathBuf {
+    let find = || {
+        let files = std::fs::read_dir(held.folder()).unwrap().flatten().map(|entry| entry.path());
+        files.into_iter().find(|path| path.extension().is_some_and(|extension| extension == "learnt"))
+    };
+    until("a snapshot is left", || find().is_some());
+    find().unwrap()
+}
+
+/// What the old version has learnt is the new one's start; one that is damaged, of a later version or of the day
+/// before is left out with one line, and the new version starts all the same.
+#[rstest]
+#[case("whole", "goes on from")]
+#[case("cut", "damaged")]
+#[case("spoilt", "damaged")]
+#[case("newer", "newer than")]
+#[case("old", "s old")]
+#[case("unread", "left out")]
+fn a_new_version_goes_on_from_what_the_old_one_learnt(#[case] what: &str, #[case] said: &str) {
+    let engine = engines::lines();
+    let held = held(&[engine.address], json!({}));
+    let old = held.start();
+    until("it is ready", || old.health() == Some((200, "ready".to_owned())));
+    let mut stream = old.connect();
+    stream.write_all(query(1, "SELECT ok").as_bytes()).unwrap();
+    assert_eq!(read_reply(&mut stream).unwrap().status, 200);
+    let path = left(&held);
+    old.pause(true);
+    let mut bytes = std::fs::read(&path).unwrap();
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64;
+    match what {
+        "cut" => bytes.truncate(bytes.len() - 1),
+        "spoilt" => *bytes.last_mut().unwrap() ^= 1,
+        "newer" => bytes[8] = 9,
+        "old" => bytes = sanddyke_snapshot::seal(&bytes[28..], now - 86_400_000).unwrap(),
+        "unread" => bytes = sanddyke_snapshot::seal(b"{\"pace\": 7}", now).unwrap(),
+        _ => {}
+    }
+    std::fs::write(&path, bytes).unwrap();
+    let log = held.folder().join("log");
+    let new = held.start_with(&[("RUST_LOG", "info")], Some(&log));
+    until("the new one is ready", || new.health() == Some((200, "ready".to_owned())));
+    let lines = std::fs::read_to_string(&log).unwrap();
+    let told: Vec<&str> = lines.lines().filter(|line| line.contains("handover: ")).collect();
+    assert_eq!(told.len(), 1, "{lines}");
+    assert!(told[0].contains(said), "{told:?}");
+    old.pause(false);
+}
+
+/// SIGKILL at random moments of a snapshot's write, from a seed: the next start finds a whole one or none, and
+/// what the killed ones left aside is swept.
+#[test]
+fn a_version_killed_while_it_writes_leaves_nothing_that_harms() {
+    let engine = engines::lines();
+    let held = held(&[engine.address], json!({}));
+    let mut rng = oorandom::Rand32::new(20261201);
+    for round in 0..6 {
+        let log = held.folder().join(format!("log-{round}"));
+        let mut program = held.start_with(&[("RUST_LOG", "info")], Some(&log));
+        until("it is ready", || program.health() == Some((200, "ready".to_owned())));
+        // The first snapshot is written a second after the start.
+        std::thread::sleep(Duration::from_micros(990_000 + u64::from(rng.rand_range(0..20_000))));
+        program.kill();
+        let lines = std::fs::read_to_string(&log).unwrap();
+        assert!(!lines.contains("left out"), "round {round}: {lines}");
+    }
+    let _last = held.start();
+    let parts = || {
+        let files = std::fs::read_dir(held.folder()).unwrap().flatten();
+        files.filter(|entry| entry.path().extension().is_some_and(|of| of == "part")).count()
+    };
+    until("what was left aside is swept", || parts() == 0);
+}
+
+/// A new version does not say yes before it has heard of its engines, nor accept a connection; where they say
+/// nothing it says yes all the same, in time.
+#[test]
+fn a_new_version_is_ready_once_its_engines_were_heard() {
+    let mute = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let held = held(&[mute.local_addr().unwrap()], json!({}));
+    let began = Instant::now();
+    let program = held.start();
+    until("its second address answers", || program.health().is_some());
+    assert_eq!(program.health(), Some((503, "starting".to_owned())));
+    until("it is ready", || program.health() == Some((200, "ready".to_owned())));
+    let took = began.elapsed();
+    assert!(took > Duration::from_millis(1900) && took < Duration::from_secs(5), "{took:?}");
+}
+
+/// A drain of the old version while a new one starts: the new one is not drained, and the old one ends well.
+#[test]
+fn a_drain_between_two_versions_is_the_old_ones_alone() {
+    let engine = engines::lines();
+    let held = held(&[engine.address], json!({}));
+    let mut old = held.start();
+    until("it is ready", || old.health() == Some((200, "ready".to_owned())));
+    old.ops("POST", "/admin/quiesce").unwrap();
+    let new = held.start();
+    until("the new one is ready", || new.health() == Some((200, "ready".to_owned())));
+    old.hangup();
+    assert_eq!(old.health(), Some((503, "drained".to_owned())));
+    old.terminate();
+    assert!(old.wait().success());
+    let mut stream = new.connect();
+    stream.write_all(query(1, "SELECT ok").as_bytes()).unwrap();
+    assert_eq!(read_reply(&mut stream).unwrap().status, 200);
+}
