--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -54,8 +54,11 @@
 /// What is still open when the time is up may end within this.
 const LAST_ANSWERS: Duration = Duration::from_secs(30);
 
-/// Runs an experiment on a program, which is started for it and ends with it.
-pub async fn run(experiment: Experiment, binary: &Path) -> Result<Report, RigError> {
+/// Starts an experiment's engines, their name service, and a program on them.
+pub(crate) async fn start(
+    experiment: &Experiment,
+    binary: &Path,
+) -> Result<(Vec<engine::Engine>, Names, Program), RigError> {
     let mut engines = Vec::new();
     for _ in 0..experiment.engines.count {
         let spec = Spec { cores: experiment.engines.cores, memory_mb: experiment.engines.memory_mb };
@@ -63,7 +66,13 @@
     }
     let addresses: Vec<_> = engines.iter().map(|engine| engine.address).collect();
     let names = Names::start(&addresses).await?;
-    let program = Program::start(binary, &experiment, &addresses, names.address).await?;
+    let program = Program::start(binary, experiment, &addresses, names.address).await?;
+    Ok((engines, names, program))
+}
+
+/// Runs an experiment on a program, which is started for it and ends with it.
+pub async fn run(experiment: Experiment, binary: &Path) -> Result<Report, RigError> {
+    let (engines, names, program) = start(&experiment, binary).await?;
     let experiment = Arc::new(experiment);
     let (sink, mut outcomes) = mpsc::unbounded_channel();
     let start = Instant::now();
--- a/crates/rig/src/second.rs
+++ b/crates/rig/src/second.rs
@@ -2,10 +2,7 @@
 //! program's part of a core used up by others.
 
 use crate::client;
-use crate::engine::{self, Spec};
 use crate::experiment::Experiment;
-use crate::names::Names;
-use crate::program::Program;
 use crate::{RigError, report};
 use hdrhistogram::Histogram;
 use std::collections::VecDeque;
@@ -156,14 +153,7 @@
     let experiment: Arc<Experiment> = Arc::new(toml::from_str(TRAFFIC).map_err(wrong)?);
     let mut rows = Vec::new();
     for condition in CONDITIONS {
-        let mut engines = Vec::new();
-        for _ in 0..experiment.engines.count {
-            let spec = Spec { cores: experiment.engines.cores, memory_mb: experiment.engines.memory_mb };
-            engines.push(engine::start(spec).await?);
-        }
-        let addresses: Vec<_> = engines.iter().map(|engine| engine.address).collect();
-        let names = Names::start(&addresses).await?;
-        let program = Program::start(binary, &experiment, &addresses, names.address).await?;
+        let (_engines, _names, program) = crate::start(&experiment, binary).await?;
         let mut rivals = Vec::new();
         if condition.rivals > 0 {
             taskset(&["-a", "-c", "-p", CORE, &program.id().to_string()])?.wait()?;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -96,7 +96,7 @@
     state: EngineState,
     /// Attempts that are out there.
     out: usize,
-    /// It has answered a probe or a request.
+    /// It has answered a probe.
     heard: bool,
 }
 
