What is answered is never sent on: attempts are taken back until they are written

Cause: an attempt for a connection that is still coming up waits in that connection's queue (src/back/lines). When the request is answered meanwhile, its stop waits behind it; once the connection is up both are written, 'REQ' and 'STOP'. The TDS engines' pool did the same with a batch and its attention.

Ruled out: a second attempt after the answer (launch() finds no open request); ids used twice (refused in take_in); orders on connections that are up (drained in one turn of their task).

Change: each attempt carries a Recall, set by the core in the turn that gives the answer or gives the attempt up, and read by whoever writes it right before it is written; one that is recalled ends as never written.

Way not taken: drop a queued launch when its stop is read. It leaves the time between answer and stop, two queues apart.

--- a/src/back/lines/connection.rs
+++ b/src/back/lines/connection.rs
@@ -135,10 +135,14 @@
             tokio::select! {
                 order = orders.recv() => match order {
                     Some(order) => {
-                        let now = self.uplink.clock.now();
-                        self.order(order, now);
-                        while let Ok(order) = orders.try_recv() {
-                            self.order(order, now);
+                        let (now, mut next) = (self.uplink.clock.now(), Some(order));
+                        while let Some(order) = next {
+                            if let Some(attempt) = self.order(order, now)
+                                && let Err(ended) = self.uplink.ended(attempt, ConnectionEnd::NeverWritten).await
+                            {
+                                return ended.into();
+                            }
+                            next = orders.try_recv().ok();
                         }
                     }
                     None => return Over::Service,
@@ -199,8 +203,15 @@
         self.owes_since.map(|since| since + self.uplink.limits.silent_after)
     }
 
-    fn order(&mut self, order: Order, now: Micros) {
+    /// Carries an order out; an attempt that was taken back before it could be written is given back.
+    fn order(&mut self, order: Order, now: Micros) -> Option<AttemptId> {
         self.used = now;
+        if let Order::Launch(attempt, call) = &order
+            && call.recall.is_recalled()
+        {
+            self.count.fetch_sub(1, Ordering::Relaxed);
+            return Some(*attempt);
+        }
         if matches!(order, Order::Launch(..) | Order::Probe) {
             self.owes_since.get_or_insert(now);
         }
@@ -233,6 +244,7 @@
             }
             Order::Address(_) => {}
         }
+        None
     }
 
     fn launch(&mut self, attempt: AttemptId, call: Call, now: Micros) {
--- a/src/back/tds/connection.rs
+++ b/src/back/tds/connection.rs
@@ -80,6 +80,9 @@
             }
         };
         let (alive, told) = match order {
+            Order::Launch(attempt, call) if call.recall.is_recalled() => {
+                (true, context.uplink.ended(attempt, ConnectionEnd::NeverWritten).await)
+            }
             Order::Launch(attempt, call) => {
                 let finish = carry(&context, &mut opened, attempt, &call, &mut tasks).await;
                 let news = match finish.news {
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -111,8 +111,12 @@
         out.push(Command::Answer { request, answer });
     }
 
+    /// What leaves the table takes its place along, and what is not written of it yet never is.
     pub(super) fn close(&mut self, now: Micros, request: u64, open: &Open, out: &mut Vec<Command>) {
         self.names.remove(&open.arrival.name);
+        let tries = self.sent.get(&request).map_or(0, |sent| sent.next);
+        let unended = (0..tries).filter_map(|attempt| self.attempts.get(&(request, attempt)));
+        unended.for_each(|attempt| attempt.recall.recall());
         if self.sent.get(&request).is_some_and(|sent| sent.out == 0) {
             self.sent.remove(&request);
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -56,6 +56,7 @@
     engine: u64,
     slot: Option<Slot>,
     sent: Micros,
+    recall: Recall,
     /// Set once it was given up: the end that the module is told when the stop has had time to arrive.
     halted: Option<crate::interface::Outcome>,
 }
--- a/src/core/send.rs
+++ b/src/core/send.rs
@@ -1,6 +1,6 @@
 //! Send: starts attempts and gives them up.
 
-use super::{Attempt, Call, Command, Core, Standing, Timer};
+use super::{Attempt, Call, Command, Core, Recall, Standing, Timer};
 use crate::clock::Micros;
 use crate::interface::{AttemptEnd, EngineState, Event, Outcome, RequestId};
 
@@ -24,7 +24,9 @@
         (sent.next, sent.out) = (sent.next + 1, sent.out + 1);
         let slot = open.slot;
         slot.into_iter().for_each(|slot| self.roster.attempt_out(slot));
-        self.attempts.insert((request, attempt), Attempt { engine, slot, sent: now, halted: None });
+        let recall = Recall::default();
+        let running = Attempt { engine, slot, sent: now, recall: recall.clone(), halted: None };
+        self.attempts.insert((request, attempt), running);
         let known = self.engines.get_mut(&engine);
         let ready = known.is_some_and(|engine| {
             engine.out += 1;
@@ -37,6 +39,7 @@
         open.standing = Standing::Out(attempt);
         let patience = if timeout.0 > 0 { timeout.min(left) } else { left };
         let call = Call {
+            recall,
             name: open.arrival.name.clone(),
             class: open.arrival.class.clone(),
             key: open.arrival.key.clone(),
@@ -62,6 +65,7 @@
         let Some(running) = self.attempts.get_mut(&(request, attempt)) else { return };
         if running.halted.is_none() {
             running.halted = Some(outcome);
+            running.recall.recall();
             let confirm = self.requests.contains_key(&request);
             out.push(Command::Halt { request, attempt, engine: running.engine, confirm });
             let wait = if confirm { HALT_WITHIN } else { Micros(0) };
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Rows of text; a missing value is `None`.
 pub type Row = Vec<Option<String>>;
@@ -90,9 +91,28 @@
     Invalid(Invalid),
 }
 
+/// Takes an attempt back as long as nothing of it is written: whoever writes it asks right before. Orders come by
+/// queues, and may stand there behind a connection that comes up late; this is seen at once.
+#[derive(Debug, Clone, Default)]
+pub struct Recall(Arc<AtomicBool>);
+
+impl Recall {
+    /// Nothing of the attempt is to be written from now on.
+    pub fn recall(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the attempt was taken back.
+    pub fn is_recalled(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// What an engine is sent.
 #[derive(Debug, Clone)]
 pub struct Call {
+    /// Whether it is to be sent at all by the time that it can be.
+    pub recall: Recall,
     /// The client's name for the request.
     pub name: String,
     /// Its class.
--- a/tests/common/engines.rs
+++ b/tests/common/engines.rs
@@ -24,15 +24,62 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let engine = Engine { address: listener.local_addr().unwrap(), seen: Seen::default() };
     let seen = engine.seen.clone();
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let seen = seen.clone();
-            std::thread::spawn(move || each(stream, seen));
-        }
-    });
+    std::thread::spawn(move || accept(&listener, &seen, each));
     engine
 }
 
+fn accept(listener: &TcpListener, seen: &Seen, each: fn(TcpStream, Seen)) {
+    for stream in listener.incoming().flatten() {
+        let seen = seen.clone();
+        std::thread::spawn(move || each(stream, seen));
+    }
+}
+
+/// An engine of either wire whose connections come up late: its socket's queue is full, and the first packets of who
+/// comes are dropped until it is told to go on. They come again by themselves about a second after the first.
+pub struct Late {
+    pub engine: Engine,
+    waiting: Vec<TcpStream>,
+    listener: TcpListener,
+    each: fn(TcpStream, Seen),
+}
+
+impl Late {
+    pub fn lines() -> Late {
+        Late::start(|stream, seen| drop(speak_lines(stream, &seen)))
+    }
+
+    pub fn tds() -> Late {
+        Late::start(|stream, seen| drop(speak_tds(stream, &seen)))
+    }
+
+    fn start(each: fn(TcpStream, Seen)) -> Late {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let listener = runtime.block_on(async {
+            let socket = tokio::net::TcpSocket::new_v4().unwrap();
+            socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+            socket.listen(1).unwrap().into_std().unwrap()
+        });
+        listener.set_nonblocking(false).unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut waiting = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, std::time::Duration::from_millis(100)) {
+            waiting.push(stream);
+        }
+        Late { engine: Engine { address, seen: Seen::default() }, waiting, listener, each }
+    }
+
+    /// Takes connections from now on.
+    pub fn go_on(self) -> Engine {
+        for _ in &self.waiting {
+            drop(self.listener.accept().unwrap());
+        }
+        let (seen, each) = (self.engine.seen.clone(), self.each);
+        std::thread::spawn(move || accept(&self.listener, &seen, each));
+        self.engine
+    }
+}
+
 pub fn lines() -> Engine {
     serve(|stream, seen| drop(speak_lines(stream, &seen)))
 }
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -544,6 +544,28 @@
     assert!(metrics.contains(r#"sanddyke_attempts_total{outcome="Spoilt"} 1"#), "{metrics}");
 }
 
+/// Guards against a request that reaches an engine after its final answer, as the connection that it was meant for
+/// came up late. (Seen on the bench: 'request 1096880104 was sent on after its final answer'.)
+#[rstest]
+fn what_is_answered_reaches_no_engine_whose_connection_comes_up_late(
+    #[values(Wire::Lines, Wire::Tds)] wire: Wire,
+) {
+    let mut settings = settings();
+    settings["allowed"]["connectTimeoutMs"] = json!(10_000);
+    let (late, more) = match wire {
+        Wire::Lines => (engines::Late::lines(), json!({"settings": settings})),
+        Wire::Tds => (engines::Late::tds(), json!({"settings": settings, "engines": {"wire": "tds"}})),
+    };
+    let program = start(&[late.engine.address], more);
+    let reply = read_reply(&mut program.send("r", "lookup", 400, None, "SELECT 1")).unwrap();
+    assert_eq!(reply.status, 503);
+    let engine = late.go_on();
+    std::thread::sleep(Duration::from_millis(1500)); // until it has come again, and is up
+    let served = read_reply(&mut program.send("s", "lookup", 5000, None, "SELECT 2")).unwrap();
+    assert_eq!((served.status, engine.count("SELECT 2")), (200, 1));
+    assert_eq!(engine.count("SELECT 1"), 0, "{:?}", engine.seen);
+}
+
 /// Guards against a connection that ends with all of an engine's requests on it: few are put on one.
 #[test]
 fn the_end_of_a_connection_takes_few_requests_with_it() {
