The fleet in the program, built with the feature cluster: duties, backups, rolls

Need: the state machines of crates/cluster act on something: who is there, who holds which duty, one backup a period by one manager, managers that take turns at being drained or restarted.

Design: src/cluster/ on a thread of its own with its own runtime, connections and file, so that no request waits for a peer or for a promise on its way to the disk (each is synced before it is spoken of). One connection each way, length-delimited frames, bounded queues; what can't be sent is lost and said again. Duties follow the program's life: a drain or SIGTERM hands them over once their work is done. GET /v1/fleet, hand-over, letting a voter in, rolls.

Way not taken: in every build. A build without it names the key. Way not taken for the backup: a number kept beside the folder; a name that is taken once by a link, and parts of earlier holders removed, need no second file.

Plain on loopback addresses only; any other is refused at the start, by key.

--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -1,5 +1,6 @@
 //! The state in Prometheus' text format. Labels are bounded: past so many tenants the rest are one.
 
+use crate::cluster::View;
 use crate::core::{Report, Tally};
 use std::collections::{BTreeMap, HashSet};
 use std::fmt::Write;
@@ -26,6 +27,32 @@
     counts.into_iter().take(MOST_TENANTS).map(|(name, _)| name).collect()
 }
 
+/// What is seen of the fleet.
+pub fn fleet(view: &View) -> String {
+    let mut text = String::new();
+    // Writing to a string cannot fail.
+    let _ = writeln!(
+        text,
+        "# TYPE sanddyke_fleet_members gauge\nsanddyke_fleet_members {}",
+        view.members.len() + 1
+    );
+    let _ = writeln!(text, "# TYPE sanddyke_duty_held gauge");
+    for duty in &view.duties {
+        let held = u8::from(duty.left_ms.is_some());
+        let _ = writeln!(text, "sanddyke_duty_held{{duty=\"{}\"}} {held}", label(&duty.name));
+    }
+    let _ = writeln!(text, "# TYPE sanddyke_fleet_refused_total counter");
+    for (reason, count) in &view.refused {
+        let _ = writeln!(text, "sanddyke_fleet_refused_total{{reason=\"{reason}\"}} {count}");
+    }
+    let (messages, bytes, unsent) = view.sent;
+    for (name, count) in [("sent_messages", messages), ("sent_bytes", bytes), ("unsent_messages", unsent)] {
+        let _ =
+            writeln!(text, "# TYPE sanddyke_fleet_{name}_total counter\nsanddyke_fleet_{name}_total {count}");
+    }
+    text
+}
+
 /// All metrics.
 pub fn text(report: &Report) -> String {
     let named = named(report);
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -8,6 +8,7 @@
 
 use self::problem::Problem;
 use crate::clock::Clock;
+use crate::cluster::Cluster;
 use crate::core::{Report, Tally};
 use crate::front::http::message::{Request, Response};
 use crate::front::http::read_request;
@@ -52,6 +53,7 @@
     keeper: Arc<Keeper>,
     clock: Clock,
     token: String,
+    cluster: Option<Cluster>,
     watchers: Arc<Semaphore>,
     rates: Mutex<HashMap<String, (TokenBucket, TokenBucket)>>,
 }
@@ -116,9 +118,10 @@
         keeper: Arc<Keeper>,
         clock: Clock,
         token: String,
+        cluster: Option<Cluster>,
     ) -> Arc<Admin> {
         let rates = Mutex::default();
-        Arc::new(Admin { handle, life, keeper, clock, token, watchers: v1::watchers(), rates })
+        Arc::new(Admin { handle, life, keeper, clock, token, cluster, watchers: v1::watchers(), rates })
     }
 
     async fn call(&self, request: &Request) -> Response {
@@ -205,7 +208,11 @@
         }
         let report = self.handle.inspect().await?;
         Ok(match path {
-            "/metrics" => Response::text(200, metrics::text(&report)),
+            "/metrics" => {
+                let fleet =
+                    self.cluster.as_ref().map_or(String::new(), |cluster| metrics::fleet(&cluster.view()));
+                Response::text(200, metrics::text(&report) + &fleet)
+            }
             _ => Response::json(200, json!({ "tenants": tenants(&report) }).to_string()),
         })
     }
--- a/src/admin/routes.rs
+++ b/src/admin/routes.rs
@@ -61,6 +61,16 @@
     Export,
     /// Tenants and groups from TOML.
     Import,
+    /// The fleet.
+    Fleet,
+    /// A duty goes to the next in order.
+    HandOver,
+    /// A voter whose file was lost is let in.
+    Admit,
+    /// Managers take turns at being drained or restarted.
+    Roll,
+    /// A roll is paused, taken up again, or taken back.
+    TurnRoll,
 }
 
 /// A row of the table.
@@ -137,6 +147,11 @@
     route!("POST" "/v1/backups" Backup 201, OPERATOR, None, "", "", "Writes a backup of the store into the folder that is set up for it."),
     route!("GET" "/v1/export" Export 200, OPERATOR, None, "", "", "All tenants and groups, as TOML."),
     route!("POST" "/v1/import" Import 200, OPERATOR, None, "prune dry_run", "", "Makes tenants and groups agree with a TOML document, all at once; with `prune`, what it does not name goes."),
+    route!("GET" "/v1/fleet" Fleet 200, SEE, None, "", "", "The fleet as this manager sees it: members, voters, duties and their holders."),
+    route!("POST" "/v1/fleet/duties/{name}/hand-over" HandOver 202, OPERATOR, None, "", "", "Hands a duty that this manager holds over to the next in order; what was begun is finished first."),
+    route!("POST" "/v1/fleet/voters/{name}/admit" Admit 202, OPERATOR, None, "", "", "Lets a voter in whose file was lost, under its new number. Asked of the leader."),
+    route!("POST" "/v1/fleet/roll" Roll 202, OPERATOR, Some("NewRoll"), "", "", "Begins a roll: managers take turns at being drained or restarted, so many of one zone at once; it stops at the first that does not come back. Asked of the holder of the duty `warden`."),
+    route!("POST" "/v1/fleet/roll/{word}" TurnRoll 202, OPERATOR, None, "", "", "A roll's `pause`, `resume` or `take-back`. Asked of the holder of the duty `warden`."),
 ];
 
 /// Why no row fits.
@@ -186,6 +201,7 @@
     schema::<super::v1::NewGroup>(&mut generator);
     schema::<super::v1::NewToken>(&mut generator);
     schema::<super::v1::Rotation>(&mut generator);
+    schema::<super::v1::NewRoll>(&mut generator);
     schema::<sanddyke_tenancy::TenantSpec>(&mut generator);
     schema::<sanddyke_tenancy::GroupSpec>(&mut generator);
     schema::<sanddyke_tenancy::Tenant>(&mut generator);
--- a/src/admin/v1.rs
+++ b/src/admin/v1.rs
@@ -3,6 +3,7 @@
 use super::problem::Problem;
 use super::routes::{Call, Route};
 use super::{Admin, Caller};
+use crate::cluster::Cluster;
 use crate::core::{Input, TenantReport};
 use crate::front::http::message::{Request, Response};
 use crate::tenants::{Made, Seen, Wish};
@@ -73,6 +74,27 @@
     overlap_ms: u64,
 }
 
+/// A roll to be begun.
+#[cfg_attr(not(feature = "cluster"), allow(dead_code))]
+#[derive(Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct NewRoll {
+    /// `drain` or `restart`: a restart needs something that starts a manager again when it has ended.
+    how: RollHow,
+    /// Managers at once, all of one zone: 1 where it is absent.
+    most: Option<usize>,
+}
+
+/// What a roll does to each manager.
+#[derive(Debug, Clone, Copy, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum RollHow {
+    /// It is drained, and goes back to work.
+    Drain,
+    /// It is drained and ends.
+    Restart,
+}
+
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 struct Query {
@@ -332,9 +354,64 @@
                 Ok(Response::of(200, "application/toml", text))
             }
             Call::Import => self.import(caller, request, &query).await,
+            Call::Fleet => {
+                caller.need(Act::See)?;
+                let view = serde_json::to_string(&*self.fleet()?.view());
+                let view = view.map_err(|error| Problem::new(500, "fleet", error.to_string()))?;
+                Ok(Response::json(200, view))
+            }
+            Call::Roll | Call::TurnRoll => {
+                caller.need(Act::Govern)?;
+                self.roll(route.call, request, name).await?;
+                log::info!(who = caller.id.as_str(); "admin: {} of the fleet", request.target);
+                Ok(Response::json(202, json!({ "accepted": request.target }).to_string()))
+            }
+            Call::HandOver | Call::Admit => {
+                caller.need(Act::Govern)?;
+                let fleet = self.fleet()?;
+                let done = match route.call {
+                    Call::HandOver => fleet.hand_over(name).await,
+                    _ => fleet.admit(name).await,
+                };
+                done.map_err(|why| Problem::new(409, "fleet", why))?;
+                log::info!(who = caller.id.as_str(); "admin: {} of the fleet: {name}", route.path);
+                Ok(Response::json(202, json!({ "accepted": name }).to_string()))
+            }
         }
     }
 
+    /// An operator's word on a roll.
+    #[cfg(feature = "cluster")]
+    async fn roll(&self, call: Call, request: &Request, word: &str) -> Result<(), Problem> {
+        use crate::cluster::warden::{self, Word};
+        use sanddyke_cluster::roll::{How, State};
+        let word = match (call, word) {
+            (Call::Roll, _) => {
+                let told: NewRoll = parse(&request.body)?;
+                let how = match told.how {
+                    RollHow::Drain => How::Drain,
+                    RollHow::Restart => How::Restart,
+                };
+                Word::Begin(how, told.most.unwrap_or(1))
+            }
+            (_, "pause") => Word::Turn(State::Paused),
+            (_, "resume") => Word::Turn(State::Running),
+            (_, "take-back") => Word::Turn(State::TakenBack),
+            _ => return Err(Problem::new(404, "no_path", "no such path")),
+        };
+        warden::order(self.fleet()?, word).await.map_err(|why| Problem::new(409, "fleet", why))
+    }
+
+    #[cfg(not(feature = "cluster"))]
+    async fn roll(&self, _: Call, _: &Request, _: &str) -> Result<(), Problem> {
+        self.fleet().map(|_| ())
+    }
+
+    fn fleet(&self) -> Result<&Cluster, Problem> {
+        let none = || Problem::new(409, "no_fleet", "no fleet is set up (cluster)");
+        self.cluster.as_ref().ok_or_else(none)
+    }
+
     /// The names of the tenants that the caller sees; `None` for all.
     async fn own_names(&self, caller: &Caller) -> Option<BTreeSet<String>> {
         if caller.grant.role != Role::TenantAdmin {
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -64,10 +64,19 @@
         Micros(i64::try_from(self.origin.elapsed().as_micros()).unwrap_or(i64::MAX))
     }
 
+    /// The Unix time now, in microseconds.
+    pub fn unix_us(&self) -> u64 {
+        self.unix_us_of(self.now())
+    }
+
+    /// The Unix time of a point in time, in microseconds.
+    pub fn unix_us_of(&self, at: Micros) -> u64 {
+        self.origin_unix_us.saturating_add(at.0).unsigned_abs()
+    }
+
     /// The Unix time now, in milliseconds.
     pub fn unix_ms(&self) -> u64 {
-        let us = self.origin_unix_us.saturating_add(self.now().0);
-        us.unsigned_abs() / 1000
+        self.unix_us() / 1000
     }
 
     /// The instant of a point in time, for the runtime's timers.
--- a/src/config.rs
+++ b/src/config.rs
@@ -32,6 +32,13 @@
 const DEFAULT_KEEPALIVE_MS: f64 = 30_000.0;
 /// Above the longest result of the platform's engines: their pages cost a call each, and memory.
 const DEFAULT_PAGE_BYTES: usize = 256 * 1024;
+/// A lease outlives two lost renewals and an election of the voters (1 to 2 s).
+const DEFAULT_LEASE_MS: u64 = 3000;
+const LEASES_MS: std::ops::RangeInclusive<u64> = 500..=600_000;
+/// Bytes of a name in a fleet, as its messages have them.
+const LONGEST_NAME: usize = 64;
+/// How many may vote: with one more than an odd number nothing more may fail.
+const VOTERS: [usize; 4] = [1, 3, 5, 7];
 const DEFAULT_SERVICE: &str = "_api._tcp.svc.local";
 /// The keys that are read of the platform's file. It holds more, under names that may be this program's too
 /// (an `admin` that is an address was seen), and what is set up by them is off there.
@@ -122,6 +129,33 @@
     pub store: Option<StoreKeys>,
     /// The tenants' names, as the fronts see them.
     pub known: Known,
+    /// The fleet, where managers speak to each other.
+    pub fleet: Option<Fleet>,
+}
+
+/// What is told of the fleet.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Fleet {
+    /// Its name: managers of another are strangers.
+    pub name: String,
+    /// Where other managers connect.
+    pub listen: SocketAddr,
+    /// The address that they are told.
+    pub advertise: SocketAddr,
+    /// Where some of them may be found at the start.
+    pub seeds: Vec<SocketAddr>,
+    /// The names of those that vote: 1, 3, 5 or 7.
+    pub voters: Vec<String>,
+    /// The voter's own file.
+    pub path: Option<PathBuf>,
+    /// This manager's zone.
+    pub zone: String,
+    /// The duties that this manager would hold.
+    pub duties: Vec<String>,
+    /// How long a lease of a duty is, in microseconds.
+    pub lease_us: u64,
+    /// Time between two scheduled backups, in ms.
+    pub backup_every_ms: Option<u64>,
 }
 
 /// The TDS front.
@@ -195,6 +229,35 @@
     engines: Option<EngineKeys>,
     /// Where tenants, tokens and the audit trail are kept: with it, tenants are managed while the program runs.
     store: Option<StoreKeys>,
+    /// The fleet, where managers speak to each other.
+    cluster: Option<ClusterKeys>,
+}
+
+/// The fleet, where managers speak to each other.
+#[derive(Debug, Clone, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+struct ClusterKeys {
+    /// The fleet's name.
+    name: String,
+    /// Where other managers connect: a loopback address, as the wire has no encryption yet.
+    listen: SocketAddr,
+    /// The address that they are told, where it is another.
+    advertise: Option<SocketAddr>,
+    /// Where some of them may be found at the start.
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
+    /// The names of those that vote: 1, 3, 5 or 7, the same at every manager.
+    voters: Vec<String>,
+    /// A voter's own file, made at its first start. Never copy it, nor put an older one in its place.
+    path: Option<PathBuf>,
+    /// This manager's zone.
+    #[serde(default)]
+    zone: String,
+    /// How long a lease of a duty is (ms), 500 to 600000; 3000 where it is absent. A duty whose holder dies is taken
+    /// over after some more than this.
+    lease_ms: Option<u64>,
+    /// Time between two scheduled backups (ms), at least 1000, made by whoever holds the duty, into `store.backups`.
+    backup_every_ms: Option<u64>,
 }
 
 #[derive(Debug, Default, Deserialize, JsonSchema)]
@@ -310,11 +373,14 @@
             // Until the store is read nobody is known.
             known.replace([]);
         }
+        let name = file.name.unwrap_or_else(|| "sanddyke".to_owned());
+        let backups = file.store.as_ref().is_some_and(|store| store.backups.is_some());
+        let fleet = file.cluster.map(|keys| fleet(keys, &name, backups)).transpose()?;
         let keepalive = number("keepaliveMs", allowed.keepalive_ms, DEFAULT_KEEPALIVE_MS, 100.0)?;
         let (streams, open) = (allowed.streams_per_conn, allowed.max_open);
         Ok(Config {
             read: Read(value.clone()),
-            name: file.name.unwrap_or_else(|| "sanddyke".to_owned()),
+            name,
             listen: file.listen,
             ops: file.ops,
             seed,
@@ -333,6 +399,7 @@
             store: file.store,
             known,
             front,
+            fleet,
         })
     }
 
@@ -468,6 +535,54 @@
     Ok(Some(AdminApi { listen, token, tls }))
 }
 
+fn fleet(keys: ClusterKeys, name: &str, backups: bool) -> Result<Fleet, ConfigError> {
+    if cfg!(not(feature = "cluster")) {
+        return Err(bad("cluster", "this build has no fleet: build it with --features cluster"));
+    }
+    let listen = loopback("cluster.listen", keys.listen)?;
+    let advertise = loopback("cluster.advertise", keys.advertise.unwrap_or(listen))?;
+    for seed in &keys.seeds {
+        loopback("cluster.seeds", *seed)?;
+    }
+    let fits = |name: &str| !name.is_empty() && name.len() <= LONGEST_NAME;
+    if !fits(name) {
+        return Err(bad("name", format!("must have 1 to {LONGEST_NAME} bytes in a fleet")));
+    }
+    if !fits(&keys.name) {
+        return Err(bad("cluster.name", format!("must have 1 to {LONGEST_NAME} bytes")));
+    }
+    let distinct: BTreeSet<&String> = keys.voters.iter().collect();
+    if !VOTERS.contains(&keys.voters.len()) || distinct.len() != keys.voters.len() {
+        return Err(bad("cluster.voters", "must be 1, 3, 5 or 7 names, each once"));
+    }
+    if keys.path.is_none() && distinct.contains(&name.to_owned()) {
+        return Err(bad("cluster.path", format!("is missing, and {name} is a voter")));
+    }
+    let lease_ms = keys.lease_ms.unwrap_or(DEFAULT_LEASE_MS);
+    if !LEASES_MS.contains(&lease_ms) {
+        return Err(bad("cluster.lease_ms", format!("must be 500 to 600000, is {lease_ms}")));
+    }
+    if keys.backup_every_ms.is_some_and(|every| every < 1000) {
+        return Err(bad("cluster.backup_every_ms", "must be at least 1000"));
+    }
+    if keys.backup_every_ms.is_some() && !backups {
+        return Err(bad("cluster.backup_every_ms", "is set, and no folder is (store.backups)"));
+    }
+    let backup = keys.backup_every_ms.map(|_| crate::cluster::backup::DUTY);
+    Ok(Fleet {
+        name: keys.name,
+        listen,
+        advertise,
+        seeds: keys.seeds,
+        voters: keys.voters,
+        path: keys.path,
+        zone: keys.zone,
+        duties: backup.into_iter().chain([crate::cluster::WARDEN]).map(str::to_owned).collect(),
+        lease_us: lease_ms * 1000,
+        backup_every_ms: keys.backup_every_ms,
+    })
+}
+
 #[derive(Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 struct EngineKeys {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod admin;
 pub mod back;
 pub mod clock;
+pub mod cluster;
 pub mod config;
 pub mod core;
 pub mod directory;
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 use sanddyke::admin::{self, Admin};
 use sanddyke::back::{Backs, Limits, Wire};
 use sanddyke::clock::{Clock, Micros};
+use sanddyke::cluster::Cluster;
 use sanddyke::config::{Config, Read, Source};
 use sanddyke::core::{Core, EngineNews, Input};
 use sanddyke::discovery::{self, Told};
@@ -30,7 +31,7 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio_rustls::rustls::ServerConfig;
 
 /// Names the descriptor of the clients' socket, where the platform holds it.
@@ -40,6 +41,8 @@
 const FORCED_AFTER: (Micros, Micros, Micros) = (Micros(5_000_000), Micros(700_000), Micros(200_000));
 /// So many descriptors of the second address, of each so many of the process: a sixteenth, 16 to 64.
 const CALLERS: (usize, usize, usize) = (16, 16, 64);
+/// Duties are handed over by then, or run out by themselves.
+const HANDED_OVER_WITHIN: Duration = Duration::from_millis(500);
 /// Time in which the last answers leave the machine.
 const LAST_WORDS: Duration = Duration::from_millis(50);
 /// An engine that owes word and says nothing for so long is gone, and so is an answer of which it says nothing
@@ -70,6 +73,9 @@
     Listen(SocketAddr, std::io::Error),
     #[error("ops: can't listen on {0}: {1}")]
     Ops(SocketAddr, std::io::Error),
+    #[cfg(feature = "cluster")]
+    #[error("cluster.listen: can't listen on {0}: {1}")]
+    Cluster(SocketAddr, std::io::Error),
     #[error("{ACCEPT_FD}: {0}")]
     Inherit(#[from] Unfit),
     #[error("{ACCEPT_FD}: is set, and no address to listen on is told")]
@@ -124,6 +130,31 @@
     runtime.block_on(run(source, clock, config, socket))
 }
 
+/// Joins the fleet, and sees to the duties that this manager would hold.
+#[cfg(feature = "cluster")]
+fn join(
+    fleet: sanddyke::config::Fleet,
+    name: &str,
+    seed: u64,
+    clock: Clock,
+    keeper: &Arc<Keeper>,
+    life: &Lifeline,
+    restart: &Arc<Notify>,
+) -> Result<Cluster, Fatal> {
+    use sanddyke::cluster::{WARDEN, backup, follow, start, warden};
+    let (address, every) = (fleet.listen, fleet.backup_every_ms);
+    let (cluster, mut news) = start(fleet, name, clock, seed, (life.clone(), restart.clone()))
+        .map_err(|error| Fatal::Cluster(address, error))?;
+    if let (Some(news), Some(every)) = (news.remove(backup::DUTY), every) {
+        tokio::spawn(backup::run(cluster.clone(), news, keeper.clone(), clock, every));
+    }
+    if let Some(news) = news.remove(WARDEN) {
+        tokio::spawn(warden::run(cluster.clone(), news, clock));
+    }
+    tokio::spawn(follow(cluster.clone(), life.clone()));
+    Ok(cluster)
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, Fatal> {
     TcpListener::bind(address).await.map_err(|error| Fatal::Listen(address, error))
 }
@@ -218,6 +249,14 @@
         handover::take(place, &handle, &clock).await?;
     }
     let keeper = Keeper::start(held, &document, backups, handle.clone(), config.known, clock).await?;
+    let restart = Arc::new(Notify::new());
+    #[cfg(feature = "cluster")]
+    let cluster = match config.fleet {
+        Some(fleet) => Some(join(fleet, &config.name, config.seed, clock, &keeper, &life, &restart)?),
+        None => None,
+    };
+    #[cfg(not(feature = "cluster"))]
+    let cluster: Option<Cluster> = None;
     let certificates: Certificates = watch::Sender::new(None);
     let told = Told { resolver: config.resolver, service: config.service, listed: config.listed };
     let (names, names_told) = watch::channel(told);
@@ -253,7 +292,7 @@
     if let Some(told) = config.admin {
         let listener = bind(told.listen).await?;
         certificates.send_replace(told.tls);
-        let api = Admin::new(handle.clone(), life.clone(), keeper, clock, told.token);
+        let api = Admin::new(handle.clone(), life.clone(), keeper, clock, told.token, cluster.clone());
         fronts.push(tokio::spawn(admin::serve(listener, api, certificates.subscribe())));
     }
     for event in [Event::Listed, Event::Heard] {
@@ -269,14 +308,21 @@
     log::info!("{} is ready", config.name);
     loop {
         tokio::select! {
-            _ = terminated.recv() => break,
+            _ = terminated.recv() => {
+                log::info!("SIGTERM: finishing what is open");
+                break;
+            }
+            // Only a fleet's roll does this: what runs the program starts it again.
+            () = restart.notified() => {
+                log::info!("roll: finishing what is open, to be started again");
+                break;
+            }
             _ = reloaded.recv() => match life.apply(Event::Reload) {
                 Ok(_) => reload(&mut read, &source, &clock, &names, &certificates),
                 Err(why) => log::warn!("SIGHUP: {why}"),
             },
         }
     }
-    log::info!("SIGTERM: finishing what is open");
     life.apply(Event::Terminate)?;
     if life.takes_connections() {
         tokio::time::sleep(STILL_COMING).await;
@@ -298,6 +344,10 @@
     while handle.open().await? > 0 || life.unanswered() > 0 {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
+    if let Some(cluster) = &cluster {
+        // Its duties were handed over from SIGTERM on: the others need not wait for their leases' end.
+        let _over = tokio::time::timeout(HANDED_OVER_WITHIN, cluster.leave()).await;
+    }
     tokio::time::sleep(LAST_WORDS).await;
     life.apply(Event::LastAnswer)?;
     log::info!("all is answered");
--- a/src/tenants/mod.rs
+++ b/src/tenants/mod.rs
@@ -397,6 +397,13 @@
         log::info!("admin: a backup is written to {}", path.display());
         Ok(path)
     }
+
+    /// Writes a backup under a name that is taken once, whoever of a fleet comes first: false where it was taken.
+    pub async fn backup_as(&self, name: &str, turn: u64) -> Result<bool, Failure> {
+        let store = self.store.clone().ok_or(Failure::NoStore)?;
+        let to = self.backups.clone().ok_or(Failure::NoBackups)?.join(name);
+        aside(move || Ok(store.backup_once(&to, turn)?)).await
+    }
 }
 
 /// Runs what takes long, or waits for the disk, on a thread of its own: the service goes on meanwhile.
