Parts of a fleet find each other again after a cut: seeds and given-up members are asked

Seed 697: m2, m3 and m4 see each other, m0 and m1 each other, nothing is cut any more; the voters' messages go to members that are seen only, so no voter had a majority that it could reach. Seed 1071, once all are asked to see each other: m3 knows only m0#1, while m0 is in its third life and heeds nothing that is meant for its first; m3 asks no seed, as it is not alone.

Cause: the library asks members that it has given up once in 65 s; and a member that changes its own identity while others' old lives are all it knows has no timers until somebody speaks to it. Ruled out: cuts that were not mended (none), a lease that could not be had (nobody asked for one), the voters' log.

Change: one given-up member is asked each 2 s, one seed after another each 5 s. The simulation asks that all see each other. Way not taken: voters' messages to the last address known. It would have hidden the members' views from the checks.

SETTLED_WITHIN 30 s -> 10 s; the seeds that failed are a test of their own.

--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -10,13 +10,15 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
-use std::num::NonZeroU32;
+use std::num::{NonZeroU32, NonZeroUsize};
 use std::time::Duration;
 use thiserror::Error;
 
 /// The size that the library's times are made for: a suspect has log2(300) + 1, about 9 rounds of 1 s to say otherwise
 /// in a fleet of 300. With fewer it is found sooner by the others' answers, not by this.
 const FLEET: u32 = 8;
+/// One member that was given up is asked so often whether it is back.
+const RETURN_EVERY: Duration = Duration::from_secs(2);
 /// Bytes of one word between members, at most.
 const LONGEST: usize = 1400;
 
@@ -120,9 +122,12 @@
     pub fn new(me: Member, seed: u64) -> Members {
         let size = NonZeroU32::new(FLEET).unwrap_or(NonZeroU32::MIN);
         let mut config = foca::Config::new_lan(size);
-        config.max_packet_size = std::num::NonZeroUsize::new(LONGEST).unwrap_or(config.max_packet_size);
+        config.max_packet_size = NonZeroUsize::new(LONGEST).unwrap_or(config.max_packet_size);
         // One that was given up is forgotten soon: lives are many, and a later one wins by its number.
         config.remove_down_after = Some(Duration::from_secs(600));
+        // After a cut each side has given the other up: without this they would find each other after a minute.
+        config.periodic_announce_to_down_members =
+            Some(foca::PeriodicParams { frequency: RETURN_EVERY, num_members: NonZeroUsize::MIN });
         let foca = Foca::new(me, config, StdRng::seed_from_u64(seed), PostcardCodec);
         Members { foca, timers: BinaryHeap::new(), waiting: std::collections::HashMap::new(), count: 0 }
     }
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -19,6 +19,8 @@
 const LOOK_EVERY: Micros = 250_000;
 /// Who knows no other member asks the seeds to be let in so often, in microseconds.
 const JOIN_EVERY: Micros = 1_000_000;
+/// One seed after another is asked so often by who knows others, in microseconds.
+const REJOIN_EVERY: Micros = 5_000_000;
 /// A voter of a new group asks the others so often whether they are new too, in microseconds.
 const HELLO_EVERY: Micros = 250_000;
 /// The steps of letting a voter in are put so far apart, in microseconds.
@@ -230,6 +232,7 @@
     ticked: Micros,
     look_at: Micros,
     join_at: Micros,
+    joined: usize,
     hello_at: Micros,
     /// The voter that is asked next, by turns.
     turn: usize,
@@ -281,6 +284,7 @@
             ticked: now,
             look_at: now,
             join_at: now,
+            joined: 0,
             hello_at: now,
             turn: setup.seed as usize % 8,
             leader: None,
@@ -478,11 +482,15 @@
 
     fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
         self.members.tick(now, &mut self.words);
-        if now >= self.join_at && self.members.others().next().is_none() {
-            self.join_at = now + JOIN_EVERY;
-            let me = self.setup.me.address;
+        if now >= self.join_at {
+            let (me, alone) = (self.setup.me.address, self.members.others().next().is_none());
+            self.join_at = now + if alone { JOIN_EVERY } else { REJOIN_EVERY };
             let seeds: Vec<SocketAddr> = self.setup.seeds.iter().copied().filter(|at| *at != me).collect();
-            seeds.into_iter().for_each(|at| self.members.join(now, at, &mut self.words));
+            // One after another: it may be that only others' old lives are known here, who answer nobody.
+            self.joined = self.joined.wrapping_add(1);
+            let next = seeds.get(self.joined % seeds.len().max(1)).copied();
+            let asked = seeds.into_iter().filter(|at| alone || Some(*at) == next);
+            asked.for_each(|at| self.members.join(now, at, &mut self.words));
         }
         if let Vote::Voter(voter) = &mut self.vote {
             // One that was stopped for long does not make up for it: a leader's time to be heard begins anew.
--- a/crates/cluster/src/simulation.rs
+++ b/crates/cluster/src/simulation.rs
@@ -7,7 +7,7 @@
 //! - at no moment of true time do two managers hold one duty, each by its own clock;
 //! - an act that a resource takes never has a lower fencing number than one that it took before;
 //! - voters that have carried out as much have the same table;
-//! - once all faults are over, each duty has a holder within [`SETTLED_WITHIN`].
+//! - once all faults are over, each duty has a holder and all see each other within [`SETTLED_WITHIN`].
 
 use crate::duty::{Life, Table};
 use crate::holder::{DRIFT, Deed, Micros};
@@ -19,9 +19,10 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::net::SocketAddr;
 
-/// How long after the last fault each duty has a holder again: the longest lease that may have to run out, the members'
-/// time to find each other (some rounds of 1 s), and a voters' election.
-pub const SETTLED_WITHIN: Micros = 30_000_000;
+/// How long after the last fault each duty has a holder again, and all see each other: the longest lease that may have to
+/// run out (3 s), the members' time to find each other (a seed is asked each 5 s), and a voters' election (1 s). Of 10,000
+/// seeds the slowest took 5.0 s.
+pub const SETTLED_WITHIN: Micros = 10_000_000;
 /// The duties' lease here.
 const LEASE: u64 = 3_000_000;
 /// The duties here.
@@ -181,9 +182,9 @@
     let end = play.faults_for + SETTLED_WITHIN;
     while let Some(Reverse((at, number))) = world.events.pop() {
         if at > end {
+            let after = SETTLED_WITHIN / 1_000_000;
             return Err(format!(
-                "{} s after the last fault a duty has no holder",
-                SETTLED_WITHIN / 1_000_000
+                "{after} s after the last fault a duty has no holder, or one does not see all"
             ));
         }
         world.now = at;
@@ -511,6 +512,12 @@
 
     fn is_settled(&self) -> bool {
         let held = |duty: &Holding| duty.values().any(|(_, until)| *until > self.now);
-        self.holding.iter().all(held) && self.managers.iter().all(|manager| manager.node.is_some())
+        let sees_all = |manager: &Manager| {
+            manager
+                .node
+                .as_ref()
+                .is_some_and(|node| node.members().others().count() + 1 == self.managers.len())
+        };
+        self.holding.iter().all(held) && self.managers.iter().all(sees_all)
     }
 }
--- a/crates/cluster/tests/simulation.rs
+++ b/crates/cluster/tests/simulation.rs
@@ -25,6 +25,15 @@
     assert!(runs < 20 || fenced > 0, "the plays hold no act of a holder of the past");
 }
 
+/// Guards against parts of a fleet that do not find each other again after a cut: members given up for good (697, 1196),
+/// and one who knows only old lives of the others, who answer nobody (1071, 1236).
+#[test]
+fn what_was_not_got_over_once_is() {
+    for seed in [697, 1196, 1353, 3216, 1071, 1236, 1395] {
+        play(Play::of(seed, Without::Nothing)).unwrap_or_else(|why| panic!("seed {seed}: {why}"));
+    }
+}
+
 /// A checker that can't fail is none: each mistake put in on purpose is found.
 #[test]
 fn mistakes_put_in_on_purpose_are_found() {
