Messages between managers carry a checksum; input from elsewhere is tried from a seed

Need: a message that is cut, spoilt or from a life that is over must be refused, be counted by reason, and harm nothing. So far a spoilt byte inside a voter's word went to the raft library, which ends the program on some that make no sense.

Change: a CRC-32 before each envelope (crc32fast, as in the store). Way not taken: trusting TCP's own sum (16 bits, and none for what a proxy does).

--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -15,6 +15,9 @@
 pub const FORM: u16 = 1;
 /// Bytes of one message at most: the longest table of [`crate::duty::MOST_DUTIES`] duties has some 60 KB.
 pub const LONGEST_MESSAGE: usize = 256 * 1024;
+/// Bytes of the checksum (CRC-32) before each message. It guards against what is cut or spoilt on the way, not against
+/// somebody who means harm: for that the address must be shut to others.
+const CHECK: usize = 4;
 /// Who is no voter asks one for news of the table so often, in microseconds; so does a voter that is let in by none.
 const LOOK_EVERY: Micros = 250_000;
 /// Who knows no other member asks the seeds to be let in so often, in microseconds.
@@ -543,7 +546,11 @@
     fn send(&self, to: SocketAddr, body: Body, out: &mut Vec<Output>) {
         let (cluster, from) = (self.setup.cluster.clone(), self.setup.me.life.clone());
         match postcard::to_stdvec(&Envelope { form: FORM, cluster, from, body }) {
-            Ok(bytes) if bytes.len() <= LONGEST_MESSAGE => out.push(Output::Send(to, bytes)),
+            Ok(told) if told.len() <= LONGEST_MESSAGE - CHECK => {
+                let mut bytes = crc32fast::hash(&told).to_le_bytes().to_vec();
+                bytes.extend(told);
+                out.push(Output::Send(to, bytes));
+            }
             _ => out.push(Output::Note("a message was too long to be sent".to_owned())),
         }
     }
@@ -552,6 +559,10 @@
         if bytes.len() > LONGEST_MESSAGE {
             return Err(Refused::TooLong);
         }
+        let (check, bytes) = bytes.split_at_checked(CHECK).ok_or(Refused::Unreadable)?;
+        if check != crc32fast::hash(bytes).to_le_bytes() {
+            return Err(Refused::Unreadable);
+        }
         // The form comes first in every form.
         let form: u16 = postcard::take_from_bytes(bytes).map_err(|_| Refused::Unreadable)?.0;
         if form > FORM {
--- a/crates/cluster/src/simulation.rs
+++ b/crates/cluster/src/simulation.rs
@@ -1,5 +1,5 @@
 //! A fleet on virtual time, from a seed: real state machines, and everything between them made up. Messages are lost,
-//! late, repeated and out of order; links are cut one way or both; managers stand still, crash, come back with or
+//! late, repeated, out of order, cut, spoilt, and come again from lives that are over; links are cut one way or both; managers stand still, crash, come back with or
 //! without their files; clocks run up to [`DRIFT`] apart and begin anywhere.
 //!
 //! What must hold is checked all the time:
@@ -426,6 +426,8 @@
                         (self.seen.messages + 1, self.seen.bytes + bytes.len() as u64);
                     let to = usize::from(to.port() - 20_000);
                     let copies = 1 + usize::from(self.rng.rand_float() < 0.02);
+                    self.remember(number, to, &bytes);
+                    let bytes = self.spoil(bytes);
                     for _ in 0..copies {
                         if self.rng.rand_float() >= self.loss && to < self.managers.len() {
                             // Some are very late, and out of order.
@@ -441,6 +443,25 @@
         Ok(())
     }
 
+    /// Now and then a message comes again long after it was sent, from a life that may be over.
+    fn remember(&mut self, from: usize, to: usize, bytes: &[u8]) {
+        if self.rng.rand_float() < 0.005 && to < self.managers.len() {
+            self.after(1_000_000, 30_000_000, Event::Message { from, to, bytes: bytes.to_vec() });
+        }
+    }
+
+    /// Now and then one is cut, or some of it is changed on the way.
+    fn spoil(&mut self, mut bytes: Vec<u8>) -> Vec<u8> {
+        if self.rng.rand_float() < 0.005 {
+            let at = self.rng.rand_range(0..bytes.len() as u64) as usize;
+            match self.rng.rand_float() < 0.5 {
+                true => bytes.truncate(at),
+                false => bytes[at] ^= 1 << self.rng.rand_range(0..8),
+            }
+        }
+        bytes
+    }
+
     fn deed(&mut self, number: usize, deed: Deed) -> Result<(), String> {
         let place = |duty: &str| DUTIES.iter().position(|known| *known == duty).unwrap_or(0);
         match deed {
