sanddykectl fleet, make demo, and how long a duty is without a holder

Test: a manager that is cut off from all others serves as before, 120 queries, all answered.

A first measurement counted both duties' gaps as one's; it was thrown away.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run simulate fleet-tests
+.PHONY: build test lint run simulate fleet-tests demo
 
 build:
 	cargo build --release --locked
@@ -11,6 +11,12 @@
 	cargo clippy --locked --workspace --all-targets --features sanddyke/cluster -- -D warnings
 	cargo clippy --locked -- -D warnings
 
+# Three managers on emulated engines, on loopback; Ctrl-C ends all.
+demo:
+	cargo build --release --locked --features cluster
+	cargo build --release --locked --package sanddykectl --package sanddyke-rig
+	target/release/sanddyke-rig demo
+
 # SANDDYKE_SIM_SEED plays one seed, SANDDYKE_SIM_RUNS that many from it.
 simulate:
 	cargo run --release --locked --package sanddyke-rig -- simulate
--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -118,6 +118,9 @@
     },
     /// Write a backup of the store into the service's folder for them.
     Backup,
+    /// The fleet: members, voters, duties and their holders, rolls.
+    #[command(subcommand)]
+    Fleet(Fleet),
     /// Print a shell's completions.
     #[command(after_help = "Example:\n  sanddykectl completions bash > /etc/bash_completion.d/sanddykectl")]
     Completions {
@@ -147,6 +150,42 @@
     pub labels: Vec<String>,
 }
 
+#[derive(Debug, Subcommand)]
+pub enum Fleet {
+    /// The fleet as the manager that is asked sees it.
+    Show,
+    /// Hand a duty over to the next in order: asked of its holder.
+    #[command(after_help = "Example:\n  sanddykectl --profile m2 fleet hand-over backup")]
+    HandOver {
+        /// The duty.
+        duty: String,
+    },
+    /// Let a voter in whose file was lost, under its new number: asked of the leader. Never where the old file may come
+    /// back: two voters would stand for one.
+    Admit {
+        /// The voter's name.
+        name: String,
+    },
+    /// Have managers take turns at being drained: asked of the holder of the duty `warden`.
+    #[command(
+        after_help = "Examples:\n  sanddykectl fleet roll\n  sanddykectl fleet roll --restart --most 2"
+    )]
+    Roll {
+        /// Restart them: what runs them must start them again.
+        #[arg(long)]
+        restart: bool,
+        /// So many at once, all of one zone.
+        #[arg(long, default_value_t = 1)]
+        most: usize,
+    },
+    /// Begin no further turns of the roll for now.
+    Pause,
+    /// Go on with the roll.
+    Resume,
+    /// Take the roll back: those whose turn it is go back to work.
+    TakeBack,
+}
+
 #[derive(Debug, Subcommand)]
 pub enum Tenants {
     /// All tenants.
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -5,7 +5,7 @@
 mod arguments;
 mod table;
 
-use arguments::{Arguments, Command, Groups, Profile, Spec, Tenants, Tokens};
+use arguments::{Arguments, Command, Fleet, Groups, Profile, Spec, Tenants, Tokens};
 use clap::{CommandFactory, Parser};
 use sanddyke_client::{Client, Error, Options};
 use serde_json::{Map, Value, json};
@@ -203,6 +203,40 @@
     }
 }
 
+fn fleet(client: &Client, command: &Fleet) -> Result<Value, Failed> {
+    let post = |target: &str, body: &str| Ok(client.call("POST", target, body, &[])?.body);
+    match command {
+        Fleet::Show => Ok(client.get("/v1/fleet")?),
+        Fleet::HandOver { duty } => post(&format!("/v1/fleet/duties/{duty}/hand-over"), ""),
+        Fleet::Admit { name } => post(&format!("/v1/fleet/voters/{name}/admit"), ""),
+        Fleet::Roll { restart, most } => {
+            let how = if *restart { "restart" } else { "drain" };
+            post("/v1/fleet/roll", &json!({ "how": how, "most": most }).to_string())
+        }
+        Fleet::Pause => post("/v1/fleet/roll/pause", ""),
+        Fleet::Resume => post("/v1/fleet/roll/resume", ""),
+        Fleet::TakeBack => post("/v1/fleet/roll/take-back", ""),
+    }
+}
+
+/// The fleet for people: who speaks, then its duties and members.
+fn fleet_text(answer: &Value) -> String {
+    let word = |key: &str| answer[key].as_str().unwrap_or("-").to_owned();
+    let voters = answer["voters"].as_object().into_iter().flatten();
+    let voters: Vec<&str> = voters.filter_map(|(_, name)| name.as_str()).collect();
+    let mut text = format!(
+        "{} in zone {:?}: {}; voters: {}\n\n",
+        word("me"),
+        word("zone"),
+        word("vote"),
+        voters.join(", ")
+    );
+    text.push_str(&table::show(&json!({ "duties": answer["duties"] })));
+    text.push('\n');
+    text.push_str(&table::show(&json!({ "members": answer["members"] })));
+    text
+}
+
 fn print(text: &str) -> Result<(), Failed> {
     let mut out = std::io::stdout().lock();
     out.write_all(text.as_bytes())?;
@@ -254,6 +288,13 @@
             client.call("POST", &target, &read(file)?, &[])?.body
         }
         Command::Backup => client.call("POST", "/v1/backups", "", &[])?.body,
+        Command::Fleet(command) => {
+            let answer = fleet(&client, command)?;
+            if let (Fleet::Show, false) = (command, arguments.json) {
+                return print(&fleet_text(&answer));
+            }
+            answer
+        }
         Command::Completions { .. } => Value::Null,
     };
     match arguments.json {
--- a/crates/ctl/src/table.rs
+++ b/crates/ctl/src/table.rs
@@ -3,7 +3,7 @@
 use serde_json::Value;
 
 /// The lists that answers hold, and the columns that are shown of them; a dot goes into an object.
-const LISTS: [(&str, &[&str]); 7] = [
+const LISTS: [(&str, &[&str]); 9] = [
     ("tenants", &["name", "state", "share", "weight", "group", "quota_rps", "usage.open", "generation"]),
     ("groups", &["name", "weight", "generation"]),
     ("tokens", &["id", "role", "tenants", "note", "expires_ms"]),
@@ -11,6 +11,8 @@
     ("requests", &["name", "class", "tenant", "age_ms", "left_ms", "state"]),
     ("entries", &["number", "at_ms", "who", "what.record.change.op", "what.record.change.name", "what.how"]),
     ("shares", &["tenant", "before", "after"]),
+    ("duties", &["name", "holder", "fence", "left_ms", "note"]),
+    ("members", &["name", "life", "address", "zone"]),
 ];
 
 fn cell(value: &Value) -> String {
--- a/crates/rig/src/faults.rs
+++ b/crates/rig/src/faults.rs
@@ -116,7 +116,7 @@
 pub async fn play(binary: &Path, seed: u64, lasting: Duration) -> Result<Played, RigError> {
     let mut rng = Rand64::new(u128::from(seed));
     let managers = 3 + rng.rand_range(0..3) as usize;
-    let plan = Plan { managers, voters: 3, lease_ms: 1500, backup_every_ms: 1000, seed };
+    let plan = Plan { managers, seed, ..Plan::default() };
     let mut fleet = Fleet::start(binary, plan).await?;
     fleet.held(DUTY, None).await?;
     let (began, mut faults) = (Instant::now(), 0);
@@ -182,16 +182,11 @@
             let holder = fleet.held(DUTY, None).await?;
             // Let it renew, so that the fault comes anywhere in a lease.
             tokio::time::sleep(Duration::from_millis(lease_ms)).await;
-            let before = fleet.history()?.held().len();
+            let before = fleet.history()?.gaps(DUTY).len();
             kind.strike(&mut fleet, holder).await?;
             fleet.held(DUTY, Some(holder)).await?;
-            let held: Vec<_> = fleet.history()?.held();
-            // From the end of what the one that was struck held to the next one's beginning.
-            let next = held[before.min(held.len() - 1)..].first().map(|next| next.3);
-            let last = held[..before].iter().map(|one| one.4).max();
-            if let (Some(next), Some(last)) = (next, last) {
-                gaps_ms.push(next.saturating_sub(last) as f64 / 1000.0);
-            }
+            let gaps = fleet.history()?.gaps(DUTY);
+            gaps_ms.extend(gaps[before..].iter().map(|gap| *gap as f64 / 1000.0));
             kind.mend(&mut fleet, holder).await?;
             tokio::time::sleep(Duration::from_millis(lease_ms)).await;
         }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -2,6 +2,7 @@
 //! restarted with their files or without, and with links that the rig holds. Every process ends with the fleet.
 
 use crate::RigError;
+use crate::experiment::Class;
 use crate::history::{Event, History};
 use crate::links::{Links, Trouble};
 use crate::program::{TOKEN, call, settings};
@@ -12,9 +13,13 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
 
 static STARTED: AtomicU8 = AtomicU8::new(0);
+/// The tenant whose queries are sent.
+pub const TENANT: &str = "demo";
 /// Managers of one fleet.
 pub const MOST: usize = 30;
 /// What the program is asked for comes within this, on any machine that is not stuck.
@@ -33,11 +38,13 @@
     pub backup_every_ms: u64,
     /// For the links' random numbers.
     pub seed: u64,
+    /// Engines that all managers know; with them comes a class `lookup`.
+    pub engines: Vec<SocketAddr>,
 }
 
 impl Default for Plan {
     fn default() -> Plan {
-        Plan { managers: 3, voters: 3, lease_ms: 1500, backup_every_ms: 1000, seed: 1 }
+        Plan { managers: 3, voters: 3, lease_ms: 1500, backup_every_ms: 1000, seed: 1, engines: Vec::new() }
     }
 }
 
@@ -95,6 +102,64 @@
         Ok(fleet)
     }
 
+    fn classes(&self) -> Vec<Class> {
+        let lookup = Class {
+            name: "lookup".to_owned(),
+            target_ms: 500.0,
+            deadline_ms: 5000.0,
+            idempotency: "repeatable".to_owned(),
+            work_ms: 5.0,
+            threads: 1.0,
+            memory_mb: 0.0,
+            worth: 1.0,
+        };
+        if self.plan.engines.is_empty() { Vec::new() } else { vec![lookup] }
+    }
+
+    /// Makes the tenant of [`Fleet::ask`] at every manager: each has a store of its own.
+    pub async fn make_tenant(&self) -> Result<(), RigError> {
+        for number in self.running() {
+            call(self.admin(number), "POST", "/v1/tenants", &json!({ "name": TENANT }).to_string()).await?;
+        }
+        Ok(())
+    }
+
+    /// Where a manager's administration API is.
+    pub fn admin(&self, number: usize) -> SocketAddr {
+        SocketAddr::new(self.managers[number].address, 8081)
+    }
+
+    /// The file with the administration API's token.
+    pub fn token_file(&self) -> PathBuf {
+        self.folder.path().join("token")
+    }
+
+    /// Where a manager's clients connect.
+    pub fn http(&self, number: usize) -> SocketAddr {
+        SocketAddr::new(self.managers[number].address, 8080)
+    }
+
+    /// Sends a manager a query under a number; gives the status and how long the answer took.
+    pub async fn ask(&self, manager: usize, number: u64) -> Result<(u16, Duration), RigError> {
+        let (began, body) = (Instant::now(), "work=5 SELECT 1 FROM s_1.t");
+        let mut stream = TcpStream::connect(self.http(manager)).await?;
+        let request = format!(
+            "POST /do/lookup HTTP/1.1\r\nHost: rig\r\nX-Txn: {number:016x}\r\nX-Ttl-Ms: 3000\r\nX-Merchant: {TENANT}\r\n\
+             Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(request.as_bytes()).await?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await?;
+        let status = answer.get(9..12).and_then(|status| status.parse().ok());
+        Ok((status.unwrap_or(0), began.elapsed()))
+    }
+
+    /// The process of a manager that runs.
+    pub fn id(&self, number: usize) -> Option<u32> {
+        self.managers[number].child.as_ref().and_then(Child::id)
+    }
+
     /// Managers, running or not.
     pub fn size(&self) -> usize {
         self.managers.len()
@@ -104,13 +169,16 @@
         let at = |port: u16| SocketAddr::new(self.managers[number].address, port).to_string();
         let name = |number: usize| format!("m{number}");
         let file = |name: String| self.folder.path().join(name);
+        let endpoints: Vec<Value> = self.plan.engines.iter().enumerate().map(|(engine, address)| {
+            json!({"name": format!("e{engine}"), "address": address.to_string(), "zone": "a", "type": "std"})
+        }).collect();
         let seeds = self.managers[..self.plan.voters]
             .iter()
             .map(|one| SocketAddr::new(one.address, 9200).to_string());
         json!({
             "name": name(number), "listen": at(8080), "ops": at(9000), "limits": {"sockets": 256},
-            "settings": settings(&[], 1.0, 100.0),
-            "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"snapshot": true, "endpoints": []}}]},
+            "settings": settings(&self.classes(), 4.0, 4096.0),
+            "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"snapshot": true, "endpoints": endpoints}}]},
             "admin": {"listen": at(8081), "token_file": file("token".to_owned())},
             "store": {"path": file(format!("m{number}.redb")), "backups": file("backups".to_owned())},
             "cluster": {
@@ -214,7 +282,7 @@
 
     /// Calls a manager's administration API.
     pub async fn call(&self, number: usize, method: &str, target: &str) -> Result<Value, RigError> {
-        call(SocketAddr::new(self.managers[number].address, 8081), method, target, "").await
+        call(self.admin(number), method, target, "").await
     }
 
     /// An operator's call with a body, of whichever manager takes it.
@@ -223,8 +291,7 @@
         loop {
             let mut last = None;
             for number in self.running() {
-                let admin = SocketAddr::new(self.managers[number].address, 8081);
-                match call(admin, "POST", target, body).await {
+                match call(self.admin(number), "POST", target, body).await {
                     Ok(_) => return Ok(number),
                     Err(why) => last = Some(why),
                 }
@@ -257,9 +324,7 @@
 
     /// A call at a manager's second address; gives the status.
     pub async fn ops(&self, number: usize, method: &str, target: &str) -> Result<u16, RigError> {
-        use tokio::io::{AsyncReadExt, AsyncWriteExt};
-        let mut stream =
-            tokio::net::TcpStream::connect(SocketAddr::new(self.managers[number].address, 9000)).await?;
+        let mut stream = TcpStream::connect(SocketAddr::new(self.managers[number].address, 9000)).await?;
         stream
             .write_all(
                 format!("{method} {target} HTTP/1.1\r\nHost: rig\r\nContent-Length: 0\r\n\r\n").as_bytes(),
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -36,6 +36,12 @@
         #[arg(long)]
         json: bool,
     },
+    /// Start two emulated engines and three managers on loopback, say how to ask, and what to stop next. Ctrl-C ends all.
+    Demo {
+        /// The program, built with the feature `cluster`.
+        #[arg(long, default_value = "target/release/sanddyke")]
+        program: PathBuf,
+    },
     /// Play fleets on virtual time: SANDDYKE_SIM_SEED plays one seed, SANDDYKE_SIM_RUNS that many from it.
     Simulate,
     /// Play faults between processes: SANDDYKE_FAULT_SEED plays one seed, SANDDYKE_FAULT_RUNS that many from it.
@@ -157,6 +163,47 @@
     tell(&failed, runs)
 }
 
+async fn demo(program: &Path) -> Result<(), RigError> {
+    use sanddyke_rig::engine::{Spec, start};
+    use sanddyke_rig::fleet::{Fleet, Plan, TENANT};
+    let spec = Spec { cores: 4.0, memory_mb: 4096.0 };
+    let engines = [start(spec).await?, start(spec).await?];
+    let engines = engines.iter().map(|engine| engine.address).collect();
+    let fleet = Fleet::start(program, Plan { engines, backup_every_ms: 5000, ..Plan::default() }).await?;
+    let mut holder = fleet.held("backup", None).await?;
+    fleet.make_tenant().await?;
+    let mut ended = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+    println!("Three managers on two engines. Ask one of them (a new X-Txn for each query):\n");
+    println!(
+        "  curl -s -X POST -H 'X-Txn: 00000000000000a1' -H 'X-Ttl-Ms: 3000' -H 'X-Merchant: {TENANT}' \\"
+    );
+    println!(
+        "    --data 'work=50 SELECT 1 FROM s_1.t' http://{}/do/lookup\n\nThe fleet as m0 sees it:\n",
+        fleet.http(0)
+    );
+    let token = fleet.token_file();
+    println!(
+        "  target/release/sanddykectl --url http://{} --token-file {} fleet show\n",
+        fleet.admin(0),
+        token.display()
+    );
+    let id = fleet.id(holder).unwrap_or(0);
+    println!("The scheduled backup is m{holder}'s. Stop it, see who takes over, and have it go on:\n");
+    println!("  kill -STOP {id}; sleep 5; kill -CONT {id}\n\nCtrl-C ends all.");
+    loop {
+        tokio::select! {
+            _ = tokio::signal::ctrl_c() => return Ok(()),
+            // Told to end in another way, it takes its managers along too.
+            _ = ended.recv() => return Ok(()),
+            () = tokio::time::sleep(std::time::Duration::from_millis(500)) => {}
+        }
+        if let Some(now) = fleet.holder("backup").await.filter(|now| *now != holder) {
+            println!("the backup is m{now}'s now (process {})", fleet.id(now).unwrap_or(0));
+            holder = now;
+        }
+    }
+}
+
 async fn measure_duties(
     program: &Path,
     times: usize,
@@ -225,6 +272,11 @@
     let on_runtime = || tokio::runtime::Builder::new_current_thread().enable_all().build();
     let (file, program, out, json) = match Arguments::parse().command {
         Command::Simulate => return simulate(),
+        Command::Demo { program } => {
+            let shown =
+                on_runtime().map_err(RigError::from).and_then(|runtime| runtime.block_on(demo(&program)));
+            return shown.map_or_else(|error| failed(&error), |()| ExitCode::SUCCESS);
+        }
         Command::Fleet { program, seconds } => {
             return match on_runtime() {
                 Ok(runtime) => runtime.block_on(play_fleets(&program, seconds)),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -258,6 +258,34 @@
     }
 }
 
+/// Guards against a request that waits for a peer: a manager that is cut off from all others, among voters that hold
+/// nothing, serves as before, and so do the others.
+#[tokio::test]
+async fn a_manager_that_is_cut_off_serves_as_before() {
+    let mut engines = Vec::new();
+    for _ in 0..2 {
+        let spec = sanddyke_rig::engine::Spec { cores: 4.0, memory_mb: 4096.0 };
+        engines.push(sanddyke_rig::engine::start(spec).await.unwrap());
+    }
+    let addresses = engines.iter().map(|engine| engine.address).collect();
+    let fleet = fleet(Plan { engines: addresses, ..Plan::default() }).await;
+    fleet.held(DUTY, None).await.unwrap();
+    fleet.make_tenant().await.unwrap();
+    let mut slowest = [Duration::ZERO; 2];
+    for part in 0..2u64 {
+        for number in 0..60u64 {
+            let (status, took) = fleet.ask((number % 3) as usize, 1000 * part + number).await.unwrap();
+            assert_eq!(status, 200, "query {number} of part {part}");
+            slowest[part as usize] = slowest[part as usize].max(took);
+        }
+        // Each alone from here on.
+        (0..3).for_each(|number| fleet.cut(number, &[0, 1, 2], true, true));
+        tokio::time::sleep(A_WHILE / 2).await;
+    }
+    assert!(slowest[1] < Duration::from_millis(1000), "{slowest:?}, for 5 ms of work");
+    checked(&fleet, 1).await;
+}
+
 /// Guards against a fleet in which the loss of many managers at once costs the others their duties.
 #[tokio::test]
 async fn a_third_of_the_managers_killed_at_once_costs_one_lease_at_most() {
