The test of a roll that is taken back holds the roll up before it begins

Seen: once in a run of all tests the roll was done before it was taken back (three drains of some 0.3 s each), and the operator's word was lost beside the step that was noted at the same moment.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -238,11 +238,12 @@
 async fn a_roll_that_is_taken_back_leaves_all_at_work() {
     let mut fleet = fleet(Plan::default()).await;
     fleet.until(0, "all members", |view| view["members"].as_array().unwrap().len() == 2).await.unwrap();
-    fleet.govern("/v1/fleet/roll", r#"{"how":"drain"}"#).await.unwrap();
     let holder = fleet.held("warden", None).await.unwrap();
     let other = (0..3).find(|number| *number != holder).unwrap();
     // One that stands still holds the roll up.
     fleet.stop(other, true).await.unwrap();
+    fleet.govern("/v1/fleet/roll", r#"{"how":"drain"}"#).await.unwrap();
+    tokio::time::sleep(A_WHILE / 2).await;
     assert!(fleet.call(holder, "POST", "/v1/fleet/roll").await.is_err(), "one at a time");
     fleet.govern("/v1/fleet/roll/take-back", "").await.unwrap();
     fleet.stop(other, false).await.unwrap();
