A note of a duty names the one it was worked out from: no word of an operator is lost

Seen: a_roll_that_is_taken_back_leaves_all_at_work, once under load: the state was 'done' though the take-back had been acknowledged. Cause: warden::order read the roll, changed it and noted it, while the player noted a step worked out from the same roll; the later note replaced the earlier without a word.

Change: a note carries the number of the note that it was worked out from, and the table refuses it where more was noted since. Way not taken: all words through the player's task: it would hold for one process, and not for two holders one after another, of whom a late note of the first may still be on its way.

Test: of_two_notes_on_the_same_one_the_second_is_refused.

--- a/crates/cluster/src/duty.rs
+++ b/crates/cluster/src/duty.rs
@@ -52,6 +52,8 @@
     pub successor: Option<String>,
     /// How far the duty's work has come, in the holder's words: the next one goes on from here.
     pub note: String,
+    /// Changes with every note.
+    pub noted: u64,
 }
 
 /// What a manager asks of the voters.
@@ -88,6 +90,8 @@
         duty: String,
         /// The number that it is held under.
         fence: u64,
+        /// [`Row::noted`] of the note that this one was worked out from: what was noted since is not lost.
+        on: u64,
         /// The note.
         note: String,
     },
@@ -160,16 +164,21 @@
         let held = row.and_then(|row| row.grant.as_ref());
         let is_holder =
             |fence: u64| held.is_some_and(|grant| grant.fence == fence && grant.holder == proposal.from);
-        let verdict = match &proposal.ask {
-            Ask::Take { lease_us, .. } if !(LEASES_US.0..=LEASES_US.1).contains(lease_us) => Verdict::Unfit,
-            Ask::Take { version, .. } if row.map_or(0, |row| row.version) != *version => Verdict::Moved,
-            Ask::Take { .. } => Verdict::Granted(index),
-            Ask::Renew { fence, .. } if is_holder(*fence) => Verdict::Renewed,
-            Ask::Release { fence, .. } if is_holder(*fence) => Verdict::Released,
-            Ask::Note { note, .. } if note.len() > LONGEST_NOTE => Verdict::Unfit,
-            Ask::Note { fence, .. } if is_holder(*fence) => Verdict::Noted,
-            Ask::Renew { .. } | Ask::Release { .. } | Ask::Note { .. } => Verdict::NotHolder,
-        };
+        let verdict =
+            match &proposal.ask {
+                Ask::Take { lease_us, .. } if !(LEASES_US.0..=LEASES_US.1).contains(lease_us) => {
+                    Verdict::Unfit
+                }
+                Ask::Take { version, .. } if row.map_or(0, |row| row.version) != *version => Verdict::Moved,
+                Ask::Take { .. } => Verdict::Granted(index),
+                Ask::Renew { fence, .. } if is_holder(*fence) => Verdict::Renewed,
+                Ask::Release { fence, .. } if is_holder(*fence) => Verdict::Released,
+                Ask::Note { note, .. } if note.len() > LONGEST_NOTE => Verdict::Unfit,
+                Ask::Note { fence, on, .. } if is_holder(*fence) => {
+                    if row.is_some_and(|row| row.noted == *on) { Verdict::Noted } else { Verdict::Moved }
+                }
+                Ask::Renew { .. } | Ask::Release { .. } | Ask::Note { .. } => Verdict::NotHolder,
+            };
         let row = match verdict {
             Verdict::Granted(_) | Verdict::Renewed | Verdict::Released | Verdict::Noted => {
                 self.rows.entry(duty.to_owned()).or_default()
@@ -186,7 +195,7 @@
                 row.successor = None;
             }
             Ask::Renew { .. } => {}
-            Ask::Note { note, .. } => row.note.clone_from(note),
+            Ask::Note { note, .. } => (row.note, row.noted) = (note.clone(), index),
             Ask::Release { successor, .. } => {
                 row.grant = None;
                 row.successor = successor.clone().filter(|name| name.len() <= LONGEST_NAME);
@@ -237,6 +246,21 @@
         assert_eq!(ask(&mut table, "b", take(3)), Verdict::Granted(4));
     }
 
+    /// Guards against one of two notes that were worked out from the same one and is lost without a word.
+    #[test]
+    fn of_two_notes_on_the_same_one_the_second_is_refused() {
+        let mut table = Table::default();
+        ask(&mut table, "a", take(0));
+        let note =
+            |on, note: &str| Ask::Note { duty: "backup".to_owned(), fence: 1, on, note: note.to_owned() };
+        assert_eq!(ask(&mut table, "a", note(0, "first")), Verdict::Noted);
+        assert_eq!(ask(&mut table, "a", note(0, "second")), Verdict::Moved);
+        assert_eq!(table.rows["backup"].note, "first");
+        assert_eq!(ask(&mut table, "a", note(2, "third")), Verdict::Noted);
+        assert_eq!(ask(&mut table, "b", note(4, "b's")), Verdict::NotHolder);
+        assert_eq!((table.rows["backup"].note.as_str(), table.rows["backup"].version), ("third", 1));
+    }
+
     #[test]
     fn what_is_out_of_bounds_changes_nothing() {
         let mut table = Table::default();
--- a/crates/cluster/src/holder.rs
+++ b/crates/cluster/src/holder.rs
@@ -319,9 +319,9 @@
     }
 
     /// Notes how far a duty's work has come; [`Deed::Noted`] tells when it is. It is asked for again by whoever needs it.
-    pub fn note(&mut self, now: Micros, duty: &str, note: String, out: &mut Vec<Deed>) {
+    pub fn note(&mut self, now: Micros, duty: &str, on: u64, note: String, out: &mut Vec<Deed>) {
         if let Some(fence) = self.held.get(duty).map(|held| held.fence) {
-            self.ask(now, Ask::Note { duty: duty.to_owned(), fence, note }, out);
+            self.ask(now, Ask::Note { duty: duty.to_owned(), fence, on, note }, out);
         }
     }
 
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -178,8 +178,8 @@
     Message(&'a [u8]),
     /// What was begun under a duty is done.
     Finished(&'a str),
-    /// Note how far a duty's work has come.
-    Note(&'a str, String),
+    /// Note how far a duty's work has come, worked out from the note of this number.
+    Note(&'a str, u64, String),
     /// Tell a manager a step of the roll; it goes out only while the duty is held.
     Turn(&'a str, Step),
     /// Say there where this manager stands.
@@ -427,7 +427,7 @@
                 let successor = self.successor(duty);
                 self.holder.finished(now, duty, successor, &mut self.deeds);
             }
-            Input::Note(duty, note) => self.holder.note(now, duty, note, &mut self.deeds),
+            Input::Note(duty, on, note) => self.holder.note(now, duty, on, note, &mut self.deeds),
             Input::Turn(name, step) => {
                 let to = self.members.named(name).map(|member| member.address);
                 if let (Some(fence), Some(to)) = (self.holder.may_act(roll::DUTY, now), to) {
--- a/src/cluster/backup.rs
+++ b/src/cluster/backup.rs
@@ -37,7 +37,8 @@
             },
             _ = looks.tick() => {
                 let period = clock.unix_ms() / every_ms;
-                let done = cluster.note_of(DUTY).parse().ok();
+                let (on, note) = cluster.note_of(DUTY);
+                let done = note.parse().ok();
                 if done.is_some_and(|done: u64| done >= period) {
                     continue;
                 }
@@ -46,7 +47,7 @@
                     Ok(made) => {
                         let how = if made { "written" } else { "there already" };
                         log::info!("duty {DUTY}: period {period} fence={fence} at_us={}: {how}", clock.unix_us());
-                        cluster.note(DUTY, period.to_string()).await;
+                        cluster.note(DUTY, on, period.to_string()).await;
                         // The note is seen within some rounds of the voters; until then the look above finds the file.
                         tokio::time::sleep(LOOK_EVERY).await;
                     }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -45,7 +45,7 @@
 #[cfg_attr(not(feature = "cluster"), allow(dead_code))]
 #[derive(Debug)]
 enum Order {
-    Note(String, String),
+    Note(String, u64, String),
     #[cfg(feature = "cluster")]
     Turn(String, sanddyke_cluster::roll::Step),
     Finished(String),
@@ -68,6 +68,8 @@
     pub left_ms: Option<u64>,
     /// How far its work has come.
     pub note: String,
+    /// The number of that note.
+    pub noted: u64,
 }
 
 /// A member as operators see it.
@@ -150,10 +152,11 @@
         &self.name
     }
 
-    /// How far a duty's work has come, as it is known here; nothing where it was never noted.
-    pub fn note_of(&self, duty: &str) -> String {
+    /// How far a duty's work has come, as it is known here, and the note's number; nothing where it was never noted.
+    pub fn note_of(&self, duty: &str) -> (u64, String) {
         let view = self.view.borrow();
-        view.duties.iter().find(|one| one.name == duty).map_or(String::new(), |one| one.note.clone())
+        let one = view.duties.iter().find(|one| one.name == duty);
+        one.map_or((0, String::new()), |one| (one.noted, one.note.clone()))
     }
 
     /// Where managers stand.
@@ -182,9 +185,9 @@
         answer.await.unwrap_or(Err("the program ends".to_owned()))
     }
 
-    /// Has the voters note how far a duty's work has come.
-    pub async fn note(&self, duty: &str, note: String) {
-        self.order(Order::Note(duty.to_owned(), note)).await;
+    /// Has the voters note how far a duty's work has come, unless more was noted since the note of this number.
+    pub async fn note(&self, duty: &str, on: u64, note: String) {
+        self.order(Order::Note(duty.to_owned(), on, note)).await;
     }
 
     /// What was begun under a duty is done.
--- a/src/cluster/shell.rs
+++ b/src/cluster/shell.rs
@@ -195,7 +195,7 @@
 
     async fn order(&mut self, order: Order) {
         match order {
-            Order::Note(duty, note) => self.tell(Input::Note(&duty, note)),
+            Order::Note(duty, on, note) => self.tell(Input::Note(&duty, on, note)),
             Order::Turn(name, step) => self.tell(Input::Turn(&name, step)),
             Order::Finished(duty) => self.tell(Input::Finished(&duty)),
             Order::HandOver(duty, reply) => {
@@ -325,6 +325,7 @@
                 fence: grant.map(|grant| grant.fence),
                 left_ms: held.map(|(_, _, until)| (until - now) / 1000),
                 note: row.map_or(String::new(), |row| row.note.clone()),
+                noted: row.map_or(0, |row| row.noted),
             }
         });
         let member = |member: &Member| MemberView {
--- a/src/cluster/warden.rs
+++ b/src/cluster/warden.rs
@@ -67,7 +67,8 @@
                 if cluster.may_act(DUTY).is_none() {
                     continue;
                 }
-                let Some(mut roll) = Roll::read(&cluster.note_of(DUTY)) else { continue };
+                let (on, note) = cluster.note_of(DUTY);
+                let Some(mut roll) = Roll::read(&note) else { continue };
                 if !roll.is_open() {
                     continue;
                 }
@@ -75,7 +76,7 @@
                 let (mut tell, now) = (Vec::new(), clock.now().0.unsigned_abs());
                 if roll.step(now, &mut watch, &mut tell) {
                     log::info!("roll: {}", roll.note());
-                    keep(&cluster, &mut news, &roll).await;
+                    keep(&cluster, &mut news, on, &roll).await;
                     continue;
                 }
                 // All are asked where they stand; those whose turn it is are told their step.
@@ -90,11 +91,12 @@
     }
 }
 
-/// Has a roll noted, and waits until it is seen to be, or too long: then the step is worked out anew.
-async fn keep(cluster: &Cluster, news: &mut mpsc::Receiver<DutyNews>, roll: &Roll) {
-    cluster.note(DUTY, roll.note()).await;
+/// Has a roll noted, and waits until another note is seen, this one or an operator's; or too long. Either way the next
+/// step is worked out from what is noted then.
+async fn keep(cluster: &Cluster, news: &mut mpsc::Receiver<DutyNews>, on: u64, roll: &Roll) {
+    cluster.note(DUTY, on, roll.note()).await;
     let _late = tokio::time::timeout(NOTED_WITHIN, async {
-        while cluster.note_of(DUTY) != roll.note() {
+        while cluster.note_of(DUTY).0 == on {
             match news.try_recv() {
                 Ok(DutyNews::Finish) => return cluster.finished(DUTY).await,
                 Ok(_) | Err(mpsc::error::TryRecvError::Empty) => tokio::time::sleep(STEP_EVERY / 10).await,
@@ -118,7 +120,8 @@
             holder.as_deref().unwrap_or("nobody holds it now")
         ));
     }
-    let known = Roll::read(&cluster.note_of(DUTY));
+    let (on, known) = cluster.note_of(DUTY);
+    let known = Roll::read(&known);
     let roll = match (word, known) {
         (Word::Begin(..), Some(roll)) if roll.is_open() => {
             return Err("a roll is open: take it back first".to_owned());
@@ -144,11 +147,19 @@
             sanddyke_cluster::duty::LONGEST_NOTE
         ));
     }
-    cluster.note(DUTY, note.clone()).await;
-    let seen = tokio::time::timeout(4 * NOTED_WITHIN, async {
-        while cluster.note_of(DUTY) != note {
+    cluster.note(DUTY, on, note.clone()).await;
+    let noted = tokio::time::timeout(4 * NOTED_WITHIN, async {
+        while cluster.note_of(DUTY).0 == on {
             tokio::time::sleep(STEP_EVERY / 10).await;
         }
     });
-    seen.await.map_err(|_| "the voters did not take it in time: look whether it was".to_owned())
+    noted.await.map_err(|_| "the voters did not take it in time: look whether it was".to_owned())?;
+    // A step of the roll may have been noted at the same moment: either on top of this word, or in its place.
+    let state = Roll::read(&cluster.note_of(DUTY).1).map(|roll| roll.state());
+    let took = match (word, state) {
+        (Word::Turn(State::TakenBack), Some(state)) => matches!(state, State::TakenBack | State::Stopped),
+        (Word::Turn(State::Paused), Some(state)) => state == State::Paused,
+        (Word::Begin(..) | Word::Turn(_), state) => state.is_some(),
+    };
+    if took { Ok(()) } else { Err("the roll took a step at the same moment: try again".to_owned()) }
 }
