--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -14,8 +14,8 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// The size that the library's times are made for: a suspect has log2(300) + 1, about 9 rounds of 1 s to say otherwise
-/// in a fleet of 300. With fewer it is found sooner by the others' answers, not by this.
+/// The size that the library's times are made for: how long a suspect has to say otherwise, and how often news is passed
+/// on, grow with its logarithm. Fleets of 3 to 9 were played; larger ones were not.
 const FLEET: u32 = 8;
 /// One member that was given up is asked so often whether it is back.
 const RETURN_EVERY: Duration = Duration::from_secs(2);
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -468,7 +468,7 @@
                 match deed {
                     Deed::Ask(nonce, ask) => {
                         let (from, back) = (self.setup.me.life.clone(), self.setup.me.address);
-                        self.put(now, nonce, ask, 0, from, back, out);
+                        self.put(nonce, ask, 0, from, back, out);
                     }
                     deed => out.push(Output::Duty(deed)),
                 }
@@ -595,7 +595,7 @@
                 _ => return Err(Refused::NoVote),
             },
             Body::Hello { id, voters } => self.hello(&told.from, id, voters, out)?,
-            Body::Ask { nonce, ask, hops, from, back } => self.put(now, nonce, ask, hops, from, back, out),
+            Body::Ask { nonce, ask, hops, from, back } => self.put(nonce, ask, hops, from, back, out),
             Body::Answer { nonce, verdict } => self.holder.answered(now, nonce, verdict, &mut self.deeds),
             Body::Look { index } => {
                 let table = self.table();
@@ -706,17 +706,7 @@
 
     /// A question for the voters: put to them where this one leads, passed on where it does not.
     #[allow(clippy::too_many_arguments)]
-    fn put(
-        &mut self,
-        now: Micros,
-        nonce: u64,
-        ask: Ask,
-        hops: u8,
-        from: Life,
-        back: SocketAddr,
-        out: &mut Vec<Output>,
-    ) {
-        let _ = now;
+    fn put(&mut self, nonce: u64, ask: Ask, hops: u8, from: Life, back: SocketAddr, out: &mut Vec<Output>) {
         match &mut self.vote {
             Vote::Voter(voter) if voter.leads() => {
                 let proposal = Proposal { from: from.clone(), nonce, ask };
