Engines: a request is begun only when all before it is written, and never once it is over

Seen (a test with an engine that reads nothing, before the change): a request answered 503 after 300 ms stood in the connection's buffer behind another; when the engine read on, it got the request and then its stop. Two more of the same cause: the rest of a half-written request went out after its client had left; and a class unsafe to repeat was failed (500) when its connection ended with half of it written, though the engine can't have had the whole of it. Cause: back/lines/connection.rs, order() and launch(): a request was put into `unwritten` as soon as it was ordered, however much stood before it, and from then on counted as one that may have run.

Change: requests wait as orders and are put into the buffer one at a time, when it is empty, and asked again then. A stop takes back what has not begun, at once; one that is there in part ends the connection. What ends with a part unwritten is told as never written. What an engine has said is read before anything is written to it (biased), so that nothing goes to one that has closed. `owes_since` is no longer left standing by an attempt that was taken back. Tried and taken out: to confirm the stop of an attempt that an engine says no more of, as for other stops.

Tests: what_waits_behind_an_engine_that_reads_nothing_..., the_rest_of_a_request_..., unsafe_work_that_was_written_in_part_...

--- a/src/back/lines/connection.rs
+++ b/src/back/lines/connection.rs
@@ -6,8 +6,8 @@
 use crate::core::{AttemptNews, Call, ConnectionEnd, Row, Table};
 use crate::interface::{LoadReport, Usage};
 use crate::service::Ended;
-use bytes::{Bytes, BytesMut};
-use std::collections::HashMap;
+use bytes::{Buf, Bytes, BytesMut};
+use std::collections::{HashMap, VecDeque};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,6 +32,14 @@
     report: Option<LoadReport>,
 }
 
+/// A request whose first bytes, or all of them, are still to be written.
+struct Beginning {
+    name: String,
+    attempt: AttemptId,
+    bytes: usize,
+    left: usize,
+}
+
 struct State {
     uplink: Uplink,
     carried: HashMap<String, Carried>,
@@ -39,7 +47,14 @@
     /// Attempts whose stop the engine has not shown to have read, by the tag whose answer will show it.
     stops: HashMap<String, AttemptId>,
     probe_count: u64,
+    /// Requests of which nothing is written, nor will be before all that `unwritten` holds: an engine that reads
+    /// nothing must not find them there later, when they are over.
+    waiting: VecDeque<(AttemptId, Call)>,
+    /// The one at the head of `unwritten`.
+    beginning: Option<Beginning>,
     unwritten: BytesMut,
+    /// Attempts of which the core is still to be told so.
+    never_written: Vec<AttemptId>,
     count: Arc<AtomicUsize>,
     heard: Micros,
     used: Micros,
@@ -82,7 +97,10 @@
         probes: HashMap::new(),
         stops: HashMap::new(),
         probe_count: 0,
+        waiting: VecDeque::new(),
+        beginning: None,
         unwritten: BytesMut::new(),
+        never_written: Vec::new(),
         count,
         heard: now,
         used: now,
@@ -101,9 +119,19 @@
     if !state.carried.is_empty() {
         log::warn!("engine at {address}: connection ended ({end:?}) with {} out", state.carried.len());
     }
-    // What was written may have run; what still waits in the queue never did.
+    // What was written may have run; what still waits, or is there in part, never did.
     orders.close();
     let now = state.uplink.clock.now();
+    if let Some(beginning) = state.beginning.take() {
+        state.carried.remove(&beginning.name);
+        state.never_written.push(beginning.attempt);
+    }
+    state.never_written.extend(state.waiting.drain(..).map(|(attempt, _)| attempt));
+    for attempt in state.never_written {
+        if state.uplink.ended(attempt, ConnectionEnd::NeverWritten).await.is_err() {
+            return;
+        }
+    }
     let carried = state.carried.drain().map(|(_, carried)| carried.attempt);
     let lost: Vec<AttemptId> = carried.chain(state.stops.drain().map(|(_, attempt)| attempt)).collect();
     for attempt in lost {
@@ -131,22 +159,16 @@
         let (mut reader, mut writer) = stream.into_split();
         let mut received = BytesMut::with_capacity(16 * 1024);
         loop {
+            self.begin();
+            for attempt in std::mem::take(&mut self.never_written) {
+                if let Err(ended) = self.uplink.ended(attempt, ConnectionEnd::NeverWritten).await {
+                    return ended.into();
+                }
+            }
             let wake = self.next_wake();
             tokio::select! {
-                order = orders.recv() => match order {
-                    Some(order) => {
-                        let (now, mut next) = (self.uplink.clock.now(), Some(order));
-                        while let Some(order) = next {
-                            if let Some(attempt) = self.order(order, now)
-                                && let Err(ended) = self.uplink.ended(attempt, ConnectionEnd::NeverWritten).await
-                            {
-                                return ended.into();
-                            }
-                            next = orders.try_recv().ok();
-                        }
-                    }
-                    None => return Over::Service,
-                },
+                // What the engine has said goes first: nothing is written to one that has closed.
+                biased;
                 read = reader.read_buf(&mut received) => {
                     let end = match read {
                         Ok(0) => Some(ConnectionEnd::Closed),
@@ -163,11 +185,22 @@
                     }
                     self.owes_since = self.is_busy().then_some(self.heard);
                 }
-                written = writer.write_buf(&mut self.unwritten), if !self.unwritten.is_empty() => {
-                    if let Err(error) = written {
-                        return Over::Connection(failed_io(&error));
+                order = orders.recv() => match order {
+                    Some(order) => {
+                        let (now, mut next) = (self.uplink.clock.now(), Some(order));
+                        while let Some(order) = next {
+                            if let Err(over) = self.order(order, now) {
+                                return over;
+                            }
+                            next = orders.try_recv().ok();
+                        }
                     }
-                }
+                    None => return Over::Service,
+                },
+                written = writer.write_buf(&mut self.unwritten), if !self.unwritten.is_empty() => match written {
+                    Ok(bytes) => self.written(bytes),
+                    Err(error) => return Over::Connection(failed_io(&error)),
+                },
                 () = tokio::time::sleep_until(wake.into()) => {
                     if let Err(over) = self.time_passed().await {
                         return over;
@@ -195,7 +228,10 @@
     }
 
     fn is_busy(&self) -> bool {
-        !self.carried.is_empty() || !self.probes.is_empty() || !self.stops.is_empty()
+        !(self.carried.is_empty()
+            && self.probes.is_empty()
+            && self.stops.is_empty()
+            && self.waiting.is_empty())
     }
 
     /// An engine that owes word sends some all the time; one that does not is cut off or stands still.
@@ -203,35 +239,18 @@
         self.owes_since.map(|since| since + self.uplink.limits.silent_after)
     }
 
-    /// Carries an order out; an attempt that was taken back before it could be written is given back.
-    fn order(&mut self, order: Order, now: Micros) -> Option<AttemptId> {
+    /// Carries an order out.
+    fn order(&mut self, order: Order, now: Micros) -> Result<(), Over> {
         self.used = now;
-        if let Order::Launch(attempt, call) = &order
-            && call.recall.is_recalled()
-        {
-            self.count.fetch_sub(1, Ordering::Relaxed);
-            return Some(*attempt);
-        }
         if matches!(order, Order::Launch(..) | Order::Probe) {
             self.owes_since.get_or_insert(now);
         }
         match order {
-            Order::Launch(attempt, call) => self.launch(attempt, call, now),
-            Order::Halt(attempt, confirm) => {
-                if let Some(name) = self.name_of(attempt) {
-                    self.line(format_args!("STOP {name}\r\n"));
-                    self.drop_carried(&name);
-                    if confirm {
-                        // Lines are read in turn: who answers this has read the stop before it.
-                        self.probe_count += 1;
-                        let tag = format!("h{}", self.probe_count);
-                        self.line(format_args!("HELO {tag}\r\n"));
-                        self.owes_since.get_or_insert(now);
-                        self.stops.insert(tag, attempt);
-                    }
-                }
-            }
+            Order::Launch(attempt, call) => self.waiting.push_back((attempt, call)),
+            Order::Halt(attempt, confirm) => self.halt(attempt, confirm, now)?,
             Order::Rank(attempt, priority) => {
+                let waiting = self.waiting.iter_mut().filter(|(waiting, _)| *waiting == attempt);
+                waiting.for_each(|(_, call)| call.priority = priority);
                 if let Some(name) = self.name_of(attempt) {
                     self.line(format_args!("NICE {name} {priority}\r\n"));
                 }
@@ -244,7 +263,72 @@
             }
             Order::Address(_) => {}
         }
-        None
+        Ok(())
+    }
+
+    /// Begins to write the next request, once all before it is written; one that was taken back meanwhile is never
+    /// written.
+    fn begin(&mut self) {
+        while self.unwritten.is_empty()
+            && let Some((attempt, call)) = self.waiting.pop_front()
+        {
+            match call.recall.is_recalled() {
+                true => self.unbegun(attempt),
+                false => self.launch(attempt, call, self.uplink.clock.now()),
+            }
+        }
+        if !self.is_busy() {
+            self.owes_since = None;
+        }
+    }
+
+    /// Nothing, or not the whole, of an attempt was written: it never ran.
+    fn unbegun(&mut self, attempt: AttemptId) {
+        self.count.fetch_sub(1, Ordering::Relaxed);
+        self.never_written.push(attempt);
+    }
+
+    /// So many bytes have left.
+    fn written(&mut self, bytes: usize) {
+        if let Some(beginning) = &mut self.beginning {
+            beginning.left = beginning.left.saturating_sub(bytes);
+            if beginning.left == 0 {
+                self.beginning = None;
+            }
+        }
+    }
+
+    /// Gives an attempt up. One that is not begun is not written; one that is there in part ends the connection, as
+    /// its rest must not reach the engine and nothing else can be written before it.
+    fn halt(&mut self, attempt: AttemptId, confirm: bool, now: Micros) -> Result<(), Over> {
+        if let Some(at) = self.waiting.iter().position(|(waiting, _)| *waiting == attempt) {
+            self.waiting.remove(at);
+            self.unbegun(attempt);
+        } else if let Some(beginning) = self.beginning.take_if(|one| one.attempt == attempt) {
+            self.drop_carried(&beginning.name);
+            self.never_written.push(attempt);
+            if beginning.left < beginning.bytes {
+                return Err(Over::Connection(ConnectionEnd::Closed));
+            }
+            self.unwritten.advance(beginning.bytes);
+        } else if let Some(name) = self.name_of(attempt) {
+            self.stop(&name);
+            if confirm {
+                // Lines are read in turn: who answers this has read the stop before it.
+                self.probe_count += 1;
+                let tag = format!("h{}", self.probe_count);
+                self.line(format_args!("HELO {tag}\r\n"));
+                self.owes_since.get_or_insert(now);
+                self.stops.insert(tag, attempt);
+            }
+        }
+        Ok(())
+    }
+
+    /// Stops a request that was written.
+    fn stop(&mut self, name: &str) -> Option<Carried> {
+        self.line(format_args!("STOP {name}\r\n"));
+        self.drop_carried(name)
     }
 
     fn launch(&mut self, attempt: AttemptId, call: Call, now: Micros) {
@@ -255,6 +339,8 @@
         self.line(format_args!(
             "REQ {name} sort={class},patience={patience}{key},urgency={priority} {length}\r\n{statement}\r\n"
         ));
+        let bytes = self.unwritten.len();
+        self.beginning = Some(Beginning { name: name.clone(), attempt, bytes, left: bytes });
         let bytes = self.uplink.collect();
         let (pages, usage, report) = (Vec::new(), None, None);
         self.carried.insert(name, Carried { attempt, heard: now, bytes, pages, usage, report });
@@ -393,8 +479,7 @@
 
     /// Stops a request here whose answer is of no more use; the others go on.
     async fn give_up(&mut self, name: &str, end: ConnectionEnd) -> Result<(), Over> {
-        self.line(format_args!("STOP {name}\r\n"));
-        if let Some(carried) = self.drop_carried(name) {
+        if let Some(carried) = self.stop(name) {
             self.uplink.ended(carried.attempt, end).await?;
         }
         Ok(())
--- a/tests/common/engines.rs
+++ b/tests/common/engines.rs
@@ -80,6 +80,44 @@
     }
 }
 
+/// An engine on lines that reads nothing of its first connection until it is told, and has little room for what
+/// it does not read.
+pub struct Blocked {
+    pub engine: Engine,
+    go_on: std::sync::mpsc::Sender<bool>,
+}
+
+impl Blocked {
+    pub fn start() -> Blocked {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        // The sender's room grows with the segments that its peer takes.
+        socket.set_tcp_mss(88).unwrap();
+        socket.set_recv_buffer_size(1).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(16).unwrap();
+        let listener = TcpListener::from(socket);
+        let engine = Engine { address: listener.local_addr().unwrap(), seen: Seen::default() };
+        let seen = engine.seen.clone();
+        let (go_on, told) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            let (first, _) = listener.accept().unwrap();
+            if told.recv() == Ok(true) {
+                let seen = seen.clone();
+                std::thread::spawn(move || drop(speak_lines(first, &seen)));
+            } else {
+                drop(first);
+            }
+            accept(&listener, &seen, |stream, seen| drop(speak_lines(stream, &seen)));
+        });
+        Blocked { engine, go_on }
+    }
+
+    /// Reads from now on, or else closes the connection unread; others are served as usual.
+    pub fn go_on(&self, reads: bool) {
+        self.go_on.send(reads).unwrap();
+    }
+}
+
 pub fn lines() -> Engine {
     serve(|stream, seen| drop(speak_lines(stream, &seen)))
 }
