Name service: after three lost answers in a row the questions go out from another socket

A name service that no longer hears one socket was asked from it for ever: drains were never told. Cause: discovery/mod.rs ask_on(): the socket was made once and kept whatever came of it, errors too. Ruled out: lost, late, cut and old answers (tests that stood); answers whose numbers start anew are passed over, and PROTOCOL has it that the numbers go on.

Change: a new socket after three lost answers (0.6 s): what is told counts as known 1.5 s after it happened. Test: a_name_service_that_hears_one_socket_no_more_is_asked_from_another; it failed before (never came: the first engine drains).

--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -21,6 +21,9 @@
 const MOST_QUESTIONS: usize = 8;
 /// The longest answer, with some to spare.
 const LONGEST_ANSWER: usize = 16 * 1024;
+/// After so many lost answers in a row the questions go out from another socket: on the way of one answers may be
+/// lost for good, and what is told must be known 1.5 s after it happened.
+const ANOTHER_SOCKET_AFTER: u32 = 3;
 /// Log again that the name service says nothing after so many lost answers.
 const LOG_EVERY: u32 = 25;
 
@@ -206,6 +209,9 @@
             }
             Err(error) => {
                 lost += 1;
+                if lost.is_multiple_of(ANOTHER_SOCKET_AFTER) {
+                    questions = None;
+                }
                 match lost % LOG_EVERY {
                     1 => log::warn!("name service: {error}"),
                     _ => log::debug!("name service: {error}"),
--- a/tests/common/names.rs
+++ b/tests/common/names.rs
@@ -14,12 +14,23 @@
 }
 
 pub fn service(engines: Vec<SocketAddr>) -> SocketAddr {
+    service_for(engines, |_| true)
+}
+
+/// One that hears only some of those who ask.
+pub fn service_for(
+    engines: Vec<SocketAddr>,
+    mut hears: impl FnMut(SocketAddr) -> bool + Send + 'static,
+) -> SocketAddr {
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
     let address = socket.local_addr().unwrap();
     std::thread::spawn(move || {
         let mut asked = 0;
         let mut buffer = [0; 512];
         while let Ok((length, from)) = socket.recv_from(&mut buffer) {
+            if !hears(from) {
+                continue;
+            }
             asked += 1;
             let question = &buffer[12..length];
             let (mut services, mut more) = (Vec::new(), Vec::new());
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -80,3 +80,15 @@
     assert_eq!(read_reply(&mut stream).map(|reply| reply.status), Some(200));
     assert_eq!(blocked.engine.count("SELECT unsafe"), 1);
 }
+
+/// Guards against a way to the name service that has fallen silent for good: the questions go out by another.
+#[test]
+fn a_name_service_that_hears_one_socket_no_more_is_asked_from_another() {
+    let (old, new) = (engines::lines(), engines::lines());
+    let both = vec![old.address, new.address];
+    let mut deaf: Option<SocketAddr> = None;
+    let resolver = names::service_for(both.clone(), move |from| *deaf.get_or_insert(from) != from);
+    let program = start(&both, json!({"resolver": resolver.to_string()}));
+    let state = || program.admin("GET", "/engines", TOKEN).json()["engines"][0]["state"].clone();
+    until("the first engine drains", || state() == "draining");
+}
