Drains reach the queues: what is not written to an engine when it stops being ready never is

A request decided while its engine was ready stood behind a connection that came up late, and was written to it after the list had told that it drains. Cause: core/mod.rs list(): the state was asked at the decision only (core/send.rs launch()).

Change: a list takes back all attempts on engines that are not ready, as far as they are unwritten; they are decided anew. It walks the attempts that are out, on a change of the list only. Test: a_draining_engine_gets_nothing_that_stood_behind_a_late_connection; before, the engine served it (200 and not 503).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -291,6 +291,10 @@
             let unnamed = self.engines.iter_mut().filter(|(id, _)| !named.contains(id));
             unnamed.for_each(|(_, engine)| engine.state = EngineState::Gone);
         }
+        // What stands in a queue, as behind a connection that comes up late, is not written to an engine that takes
+        // nothing new any more.
+        let ready = |id: &u64| self.engines.get(id).is_some_and(|to| to.state == EngineState::Ready);
+        self.attempts.values().filter(|one| !ready(&one.engine)).for_each(|one| one.recall.recall());
         self.decide(now, Event::List(news), out);
         let gone: Vec<u64> = self.engines.keys().copied().collect();
         gone.into_iter().for_each(|id| self.forget_gone(id, out));
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -29,6 +29,26 @@
     format!("SELECT {word} {}", "x".repeat(60_000))
 }
 
+/// Guards against a send to an engine that drains: what stood behind a connection that came up late was written
+/// whenever it was up.
+#[test]
+fn a_draining_engine_gets_nothing_that_stood_behind_a_late_connection() {
+    let late = Late::lines();
+    let resolver = names::service(vec![late.engine.address]);
+    let mut more = quiet(10_000);
+    more["resolver"] = json!("127.0.0.1:9");
+    let program = start(&[late.engine.address], more);
+    let mut stream = program.send("r", "lookup", 4900, None, "SELECT 1");
+    let state = || program.admin("GET", "/engines", TOKEN).json()["engines"][0].clone();
+    until("it is sent", || state()["attempts_out"] == 1);
+    program.reload("resolver", json!(resolver.to_string()));
+    until("the engine drains", || state()["state"] == "draining");
+    let engine = late.go_on();
+    assert_eq!(read_reply(&mut stream).map(|reply| reply.status), Some(503));
+    std::thread::sleep(ms(300));
+    assert_eq!(engine.count("SELECT 1"), 0, "{:?}", engine.seen);
+}
+
 fn blocked() -> (Program, Blocked) {
     let blocked = Blocked::start();
     let program = start(&[blocked.engine.address], quiet(250));
