A repeat of a keyed request is never written outside the window in which engines drop it

A second attempt decided within the window stood behind a connection that came up late, and was written after it: an engine would have taken it for new work, and the effect would be there twice. Cause: logic.rs is_harmless() asks when it decides; core/send.rs launch() handed the attempt on without the window's end.

Change: the core keeps the first attempt that may have run, and an attempt after it carries the window's end to where it is written; whoever writes it asks right before, as for one that was taken back. Outcome::never_ran names what proves that nothing ran, in one place. Test: a_repeat_is_not_written_once_the_window_is_over; before, the late engine got it.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -68,6 +68,8 @@
     next: u32,
     /// Those that are out.
     out: u32,
+    /// The first that may have run, and when it was sent.
+    maybe: Option<(u32, Micros)>,
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/core/send.rs
+++ b/src/core/send.rs
@@ -2,7 +2,7 @@
 
 use super::{Attempt, Call, Command, Core, Recall, Standing, Timer};
 use crate::clock::Micros;
-use crate::interface::{AttemptEnd, EngineState, Event, Outcome, RequestId};
+use crate::interface::{AttemptEnd, Effect, EngineState, Event, Outcome, RequestId};
 
 /// An engine that has not shown by then that it has read a stop is taken to have.
 const HALT_WITHIN: Micros = Micros(5_000_000);
@@ -24,7 +24,13 @@
         (sent.next, sent.out) = (sent.next + 1, sent.out + 1);
         let slot = open.slot;
         slot.into_iter().for_each(|slot| self.roster.attempt_out(slot));
-        let recall = Recall::default();
+        // The module asks this when it decides; a connection that comes up late writes it later.
+        let repeat_until = match (sent.maybe, self.front.settings.classes[open.class].effect) {
+            (Some((_, at)), Effect::Keyed { window_ms, .. }) => Some(at + Micros::from_ms(window_ms)),
+            _ => None,
+        };
+        sent.maybe.get_or_insert((attempt, now));
+        let recall = Recall::until(repeat_until);
         let running = Attempt { engine, slot, sent: now, recall: recall.clone(), halted: None };
         self.attempts.insert((request, attempt), running);
         let known = self.engines.get_mut(&engine);
@@ -118,6 +124,7 @@
         let settled = !self.requests.contains_key(&request);
         if let Some(sent) = self.sent.get_mut(&request) {
             sent.out -= 1;
+            sent.maybe = sent.maybe.filter(|(first, _)| !(outcome.never_ran() && *first == attempt));
             if settled && sent.out == 0 {
                 self.sent.remove(&request);
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -302,6 +302,13 @@
     NotSent,
 }
 
+impl Outcome {
+    /// Whether it proves that nothing ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::NoConnection | Outcome::NotSent)
+    }
+}
+
 /// What an engine says of its load; fields that it does not report are `None`.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct LoadReport {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -489,7 +489,7 @@
         }
         self.mark(attempt.engine, end.outcome);
         self.draws.restore(attempt.engine);
-        let never_ran = matches!(end.outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
+        let never_ran = end.outcome.never_ran();
         let known = never_ran || matches!(end.outcome, Outcome::Served | Outcome::ServerError);
         let rest = if known { 0.0 } else { self.settings.rules.key_settle_ms };
         let line = attempt.key.and_then(|key| self.lines.get_mut(&key));
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::engines::{self, Blocked, Late};
-use common::{Program, TOKEN, names, on_platform, read_reply, request, settings, start, until};
+use common::{Program, TOKEN, endpoint, names, on_platform, read_reply, request, settings, start, until};
 use rstest::rstest;
 use serde_json::{Value, json};
 use std::io::Write;
@@ -245,3 +245,31 @@
     let reply = read_reply(&mut program.send("r", "report", 15_000, None, "SELECT long nap")).unwrap();
     assert_eq!((reply.status, engine.count("SELECT long nap")), (200, 1));
 }
+
+/// Guards against a repeat that engines no longer take for one, as it stood behind a connection that came up late.
+#[test]
+fn a_repeat_is_not_written_once_the_window_is_over() {
+    let (first, late) = (engines::lines(), Late::lines());
+    let known = |rev: u32, statuses: [&str; 2]| {
+        let mut both = [endpoint("e0", first.address), endpoint("late", late.engine.address)];
+        both.iter_mut().zip(statuses).for_each(|(one, status)| one["status"] = json!(status));
+        json!({"rev": rev, "notices": [{"rev": rev, "pool": {"snapshot": true, "endpoints": both}}]})
+    };
+    let mut more = quiet(10_000);
+    more["settings"]["classes"][2]["windowMs"] = json!(2000);
+    more["known"] = known(1, ["ready", "draining"]);
+    let program = start(&[first.address], more);
+    let mut stream = program.send("k", "load", 8000, Some("key"), "LOAD nap then fail");
+    until("it runs", || first.count("REQ") == 1);
+    program.reload("known", known(2, ["draining", "ready"]));
+    until("the repeat waits for its connection", || {
+        std::thread::sleep(ms(100)); // so many calls at once are taken and no more
+        let state = program.admin("GET", "/engines", TOKEN).json();
+        let waits = |one: &Value| one["name"] == "late" && one["attempts_out"] == 1;
+        state["engines"].as_array().unwrap().iter().any(waits)
+    });
+    std::thread::sleep(ms(2000));
+    let engine = late.go_on();
+    assert_eq!(read_reply(&mut stream).map(|reply| reply.status), Some(500));
+    assert_eq!(engine.count("REQ"), 0, "{:?}", engine.seen);
+}
