--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	cargo build --release --locked
 
 test:
-	PROPTEST_RNG_SEED=20261201 cargo test --locked --workspace --features sanddyke/cluster
+	PROPTEST_RNG_SEED=20261201 cargo test --locked --workspace --features sanddyke/cluster $(ARGS)
 
 lint:
 	cargo fmt --all --check
