--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -114,6 +114,7 @@
     /// What leaves the table takes its place along, and what is not written of it yet never is.
     pub(super) fn close(&mut self, now: Micros, request: u64, open: &Open, out: &mut Vec<Command>) {
         self.names.remove(&open.arrival.name);
+        debug_assert_eq!(self.names.len(), self.requests.len(), "each open request has its name");
         let tries = self.sent.get(&request).map_or(0, |sent| sent.next);
         let unended = (0..tries).filter_map(|attempt| self.attempts.get(&(request, attempt)));
         unended.for_each(|attempt| attempt.recall.recall());
--- a/src/core/send.rs
+++ b/src/core/send.rs
@@ -16,6 +16,10 @@
         timeout: Micros,
         out: &mut Vec<Command>,
     ) {
+        debug_assert!(
+            self.requests.contains_key(&request),
+            "the module sent request {request}, which is over"
+        );
         let Some(open) = self.requests.get_mut(&request) else {
             return out.push(Command::Log(format!("the module sent request {request}, which is over")));
         };
--- a/src/main.rs
+++ b/src/main.rs
@@ -357,7 +357,14 @@
     };
     let last = clock.instant(end_by + Micros(KEPT_FOR_ANSWERS.0 / 2));
     match tokio::time::timeout_at(last.into(), served).await {
-        Ok(served) => served?,
+        Ok(served) => {
+            served?;
+            debug_assert_eq!(
+                (life.unanswered(), life.connections()),
+                (0, 0),
+                "counts are at zero at the end"
+            );
+        }
         Err(_) => log::warn!("{} requests have no whole answer at the end", life.unanswered()),
     }
     if let Some(cluster) = &cluster {
--- a/src/service.rs
+++ b/src/service.rs
@@ -172,6 +172,8 @@
                 core.handle(now, input, &mut commands);
             }
         }
+        // One answer for each request taken: whoever waits for one is in the core's table, and the other way round.
+        debug_assert_eq!(replies.len(), core.open());
     }
 }
 
