Names of the field: CancelToken, ShutdownBy, stop_accepting, close_idle, reports_progress, PartialWrite

No change of behaviour: what was Recall, EndBy, doors_shut, parted, tells and Beginning has the field's terms.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -84,7 +84,7 @@
             }
         }
     };
-    front::accept(listener, MOST, "admin", admin.life.doors_shut(), each).await;
+    front::accept(listener, MOST, "admin", admin.life.stop_accepting(), each).await;
 }
 
 async fn connection<S>(mut stream: S, seat: &Seat, admin: &Admin) -> std::io::Result<()>
--- a/src/back/lines/connection.rs
+++ b/src/back/lines/connection.rs
@@ -33,7 +33,7 @@
 }
 
 /// A request whose first bytes, or all of them, are still to be written.
-struct Beginning {
+struct PartialWrite {
     name: String,
     attempt: AttemptId,
     bytes: usize,
@@ -51,7 +51,7 @@
     /// nothing must not find them there later, when they are over.
     waiting: VecDeque<(AttemptId, Call)>,
     /// The one at the head of `unwritten`.
-    beginning: Option<Beginning>,
+    partial: Option<PartialWrite>,
     unwritten: BytesMut,
     /// Attempts of which the core is still to be told so.
     never_written: Vec<AttemptId>,
@@ -98,7 +98,7 @@
         stops: HashMap::new(),
         probe_count: 0,
         waiting: VecDeque::new(),
-        beginning: None,
+        partial: None,
         unwritten: BytesMut::new(),
         never_written: Vec::new(),
         count,
@@ -122,9 +122,9 @@
     // What was written may have run; what still waits, or is there in part, never did.
     orders.close();
     let now = state.uplink.clock.now();
-    if let Some(beginning) = state.beginning.take() {
-        state.carried.remove(&beginning.name);
-        state.never_written.push(beginning.attempt);
+    if let Some(partial) = state.partial.take() {
+        state.carried.remove(&partial.name);
+        state.never_written.push(partial.attempt);
     }
     state.never_written.extend(state.waiting.drain(..).map(|(attempt, _)| attempt));
     for attempt in state.never_written {
@@ -218,7 +218,7 @@
     fn next_wake(&self) -> Instant {
         let limits = &self.uplink.limits;
         let probes = self.probes.values().map(|sent| *sent + limits.probe_timeout);
-        let told = self.carried.values().filter(|_| limits.tells);
+        let told = self.carried.values().filter(|_| limits.reports_progress);
         let unheard = told.map(|carried| carried.heard + limits.silent_after);
         let part = self.part_since.map(|since| since + limits.line_within);
         let at = probes
@@ -239,7 +239,7 @@
 
     /// Whether the engine owes word, or at least to read.
     fn owes(&self) -> bool {
-        let tells = self.uplink.limits.tells && !self.carried.is_empty();
+        let tells = self.uplink.limits.reports_progress && !self.carried.is_empty();
         tells || !(self.probes.is_empty() && self.stops.is_empty() && self.unwritten.is_empty())
     }
 
@@ -279,7 +279,7 @@
             && let Some((attempt, call)) = self.waiting.pop_front()
         {
             let now = self.uplink.clock.now();
-            match call.recall.is_recalled(now) {
+            match call.cancel_token.is_cancelled(now) {
                 true => self.unbegun(attempt),
                 false => self.launch(attempt, call, now),
             }
@@ -294,10 +294,10 @@
 
     /// So many bytes have left.
     fn written(&mut self, bytes: usize) {
-        if let Some(beginning) = &mut self.beginning {
-            beginning.left = beginning.left.saturating_sub(bytes);
-            if beginning.left == 0 {
-                self.beginning = None;
+        if let Some(partial) = &mut self.partial {
+            partial.left = partial.left.saturating_sub(bytes);
+            if partial.left == 0 {
+                self.partial = None;
             }
         }
     }
@@ -308,13 +308,13 @@
         if let Some(at) = self.waiting.iter().position(|(waiting, _)| *waiting == attempt) {
             self.waiting.remove(at);
             self.unbegun(attempt);
-        } else if let Some(beginning) = self.beginning.take_if(|one| one.attempt == attempt) {
-            self.drop_carried(&beginning.name);
+        } else if let Some(partial) = self.partial.take_if(|one| one.attempt == attempt) {
+            self.drop_carried(&partial.name);
             self.never_written.push(attempt);
-            if beginning.left < beginning.bytes {
+            if partial.left < partial.bytes {
                 return Err(Over::Connection(ConnectionEnd::Closed));
             }
-            self.unwritten.advance(beginning.bytes);
+            self.unwritten.advance(partial.bytes);
         } else if let Some(name) = self.name_of(attempt) {
             self.stop(&name);
             if confirm {
@@ -343,7 +343,7 @@
             "REQ {name} sort={class},patience={patience}{key},urgency={priority} {length}\r\n{statement}\r\n"
         ));
         let bytes = self.unwritten.len();
-        self.beginning = Some(Beginning { name: name.clone(), attempt, bytes, left: bytes });
+        self.partial = Some(PartialWrite { name: name.clone(), attempt, bytes, left: bytes });
         let bytes = self.uplink.collect();
         let (pages, usage, report) = (Vec::new(), None, None);
         self.carried.insert(name, Carried { attempt, heard: now, bytes, pages, usage, report });
@@ -500,7 +500,7 @@
             return Err(Over::Connection(ConnectionEnd::Garbled));
         }
         // Guards against an answer, or a page, that never comes: the request may go elsewhere before its end.
-        let told = self.carried.iter().filter(|_| limits.tells);
+        let told = self.carried.iter().filter(|_| limits.reports_progress);
         let unheard = told.filter(|(_, one)| now >= one.heard + limits.silent_after);
         let unheard: Vec<String> = unheard.map(|(name, _)| name.clone()).collect();
         for name in unheard {
--- a/src/back/mod.rs
+++ b/src/back/mod.rs
@@ -57,7 +57,7 @@
     /// An engine that owes word and says nothing for this long is gone.
     pub silent_after: Micros,
     /// Whether engines tell of each request while it runs. Where they do not, silence of one says nothing.
-    pub tells: bool,
+    pub reports_progress: bool,
     /// A line of an engine's is there whole by then, from its first byte.
     pub line_within: Micros,
     /// Idle connections are closed after this long.
--- a/src/back/tds/connection.rs
+++ b/src/back/tds/connection.rs
@@ -80,7 +80,7 @@
             }
         };
         let (alive, told) = match order {
-            Order::Launch(attempt, call) if call.recall.is_recalled(context.uplink.clock.now()) => {
+            Order::Launch(attempt, call) if call.cancel_token.is_cancelled(context.uplink.clock.now()) => {
                 (true, context.uplink.ended(attempt, ConnectionEnd::NeverWritten).await)
             }
             Order::Launch(attempt, call) => {
@@ -262,7 +262,7 @@
             },
             // An engine that runs a request sends word all the time. Whether the engine itself stands still is
             // for the probes to say, which have connections of their own.
-            () = tokio::time::sleep_until(silent.into()), if limits.tells => {
+            () = tokio::time::sleep_until(silent.into()), if limits.reports_progress => {
                 log::warn!("a TDS engine says no more of request {}: given up there", call.name);
                 return lost(ConnectionEnd::Unheard);
             }
--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -37,12 +37,12 @@
     }
 
     /// The program is ended by force then: what is open, and what still comes, has no longer.
-    pub(super) fn end_all_by(&mut self, now: Micros, at: Micros, out: &mut Vec<Command>) {
-        self.end_by = Some(at);
+    pub(super) fn shut_down_by(&mut self, now: Micros, at: Micros, out: &mut Vec<Command>) {
+        self.shutdown_by = Some(at);
         let late = self.requests.iter_mut().filter(|(_, open)| open.deadline > at);
         let late: Vec<u64> = late.map(|(request, open)| (open.deadline = at, *request).1).collect();
         late.into_iter().for_each(|request| self.set_timer(at, Timer::Deadline(request)));
-        self.decide(now, Event::EndBy(at.as_ms()), out);
+        self.decide(now, Event::ShutdownBy(at.as_ms()), out);
     }
 
     /// Whether the request's tenant may ask this now; it counts as the tenant's from here on.
--- a/src/core/book.rs
+++ b/src/core/book.rs
@@ -117,7 +117,7 @@
         debug_assert_eq!(self.names.len(), self.requests.len(), "each open request has its name");
         let tries = self.sent.get(&request).map_or(0, |sent| sent.next);
         let unended = (0..tries).filter_map(|attempt| self.attempts.get(&(request, attempt)));
-        unended.for_each(|attempt| attempt.recall.recall());
+        unended.for_each(|attempt| attempt.cancel_token.cancel());
         if self.sent.get(&request).is_some_and(|sent| sent.out == 0) {
             self.sent.remove(&request);
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -56,7 +56,7 @@
     engine: u64,
     slot: Option<Slot>,
     sent: Micros,
-    recall: Recall,
+    cancel_token: CancelToken,
     /// Set once it was given up: the end that the module is told when the stop has had time to arrive.
     halted: Option<crate::interface::Outcome>,
 }
@@ -126,7 +126,7 @@
     timer_count: u64,
     actions: Vec<Action>,
     refusing: bool,
-    end_by: Option<Micros>,
+    shutdown_by: Option<Micros>,
     books: Books,
 }
 
@@ -163,7 +163,7 @@
             timer_count: 0,
             actions: Vec::new(),
             refusing: false,
-            end_by: None,
+            shutdown_by: None,
         }
     }
 
@@ -215,7 +215,7 @@
             }
             Input::Clock => self.due(now, out),
             Input::RefuseNew => self.refusing = true,
-            Input::EndBy(at) => self.end_all_by(now, at, out),
+            Input::ShutdownBy(at) => self.shut_down_by(now, at, out),
         }
     }
 
@@ -296,7 +296,7 @@
         // What stands in a queue, as behind a connection that comes up late, is not written to an engine that takes
         // nothing new any more.
         let ready = |id: &u64| self.engines.get(id).is_some_and(|to| to.state == EngineState::Ready);
-        self.attempts.values().filter(|one| !ready(&one.engine)).for_each(|one| one.recall.recall());
+        self.attempts.values().filter(|one| !ready(&one.engine)).for_each(|one| one.cancel_token.cancel());
         self.decide(now, Event::List(news), out);
         let gone: Vec<u64> = self.engines.keys().copied().collect();
         gone.into_iter().for_each(|id| self.forget_gone(id, out));
--- a/src/core/send.rs
+++ b/src/core/send.rs
@@ -1,6 +1,6 @@
 //! Send: starts attempts and gives them up.
 
-use super::{Attempt, Call, Command, Core, Recall, Standing, Timer};
+use super::{Attempt, Call, CancelToken, Command, Core, Standing, Timer};
 use crate::clock::Micros;
 use crate::interface::{AttemptEnd, Effect, EngineState, Event, Outcome, RequestId};
 
@@ -29,13 +29,13 @@
         let slot = open.slot;
         slot.into_iter().for_each(|slot| self.roster.attempt_out(slot));
         // The module asks this when it decides; a connection that comes up late writes it later.
-        let repeat_until = match (sent.maybe, self.front.settings.classes[open.class].effect) {
+        let dedup_until = match (sent.maybe, self.front.settings.classes[open.class].effect) {
             (Some((_, at)), Effect::Keyed { window_ms, .. }) => Some(at + Micros::from_ms(window_ms)),
             _ => None,
         };
         sent.maybe.get_or_insert((attempt, now));
-        let recall = Recall::until(repeat_until);
-        let running = Attempt { engine, slot, sent: now, recall: recall.clone(), halted: None };
+        let cancel_token = CancelToken::until(dedup_until);
+        let running = Attempt { engine, slot, sent: now, cancel_token: cancel_token.clone(), halted: None };
         self.attempts.insert((request, attempt), running);
         let known = self.engines.get_mut(&engine);
         let ready = known.is_some_and(|engine| {
@@ -49,7 +49,7 @@
         open.standing = Standing::Out(attempt);
         let patience = if timeout.0 > 0 { timeout.min(left) } else { left };
         let call = Call {
-            recall,
+            cancel_token,
             name: open.arrival.name.clone(),
             class: open.arrival.class.clone(),
             key: open.arrival.key.clone(),
@@ -75,7 +75,7 @@
         let Some(running) = self.attempts.get_mut(&(request, attempt)) else { return };
         if running.halted.is_none() {
             running.halted = Some(outcome);
-            running.recall.recall();
+            running.cancel_token.cancel();
             let confirm = self.requests.contains_key(&request);
             out.push(Command::Halt { request, attempt, engine: running.engine, confirm });
             let wait = if confirm { HALT_WITHIN } else { Micros(0) };
--- a/src/core/take_in.rs
+++ b/src/core/take_in.rs
@@ -49,7 +49,7 @@
         // A longer wait than the class allows is none that a client may ask engines for.
         let most = Micros::from_ms(self.front.settings.classes[class].deadline_ms);
         let deadline = now + arrival.left.min(most);
-        let deadline = self.end_by.map_or(deadline, |end| deadline.min(end));
+        let deadline = self.shutdown_by.map_or(deadline, |end| deadline.min(end));
         Ok(Open { class, slot: None, arrived: now, deadline, priority: 1, standing: Standing::Held, arrival })
     }
 
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -94,26 +94,26 @@
 /// Takes an attempt back as long as nothing of it is written: whoever writes it asks right before. Orders come by
 /// queues, and may stand there behind a connection that comes up late; this is seen at once.
 #[derive(Debug, Clone, Default)]
-pub struct Recall {
-    recalled: Arc<AtomicBool>,
+pub struct CancelToken {
+    cancelled: Arc<AtomicBool>,
     /// From then on engines would take it for another request than the one that may have run.
-    repeat_until: Option<Micros>,
+    dedup_until: Option<Micros>,
 }
 
-impl Recall {
+impl CancelToken {
     /// For an attempt that may be begun until then, where that is bound.
-    pub fn until(repeat_until: Option<Micros>) -> Recall {
-        Recall { recalled: Arc::default(), repeat_until }
+    pub fn until(dedup_until: Option<Micros>) -> CancelToken {
+        CancelToken { cancelled: Arc::default(), dedup_until }
     }
 
     /// Nothing of the attempt is to be written from now on.
-    pub fn recall(&self) {
-        self.recalled.store(true, Ordering::Relaxed);
+    pub fn cancel(&self) {
+        self.cancelled.store(true, Ordering::Relaxed);
     }
 
     /// Whether the attempt was taken back, or comes too late.
-    pub fn is_recalled(&self, now: Micros) -> bool {
-        self.recalled.load(Ordering::Relaxed) || self.repeat_until.is_some_and(|until| now >= until)
+    pub fn is_cancelled(&self, now: Micros) -> bool {
+        self.cancelled.load(Ordering::Relaxed) || self.dedup_until.is_some_and(|until| now >= until)
     }
 }
 
@@ -121,7 +121,7 @@
 #[derive(Debug, Clone)]
 pub struct Call {
     /// Whether it is to be sent at all by the time that it can be.
-    pub recall: Recall,
+    pub cancel_token: CancelToken,
     /// The client's name for the request.
     pub name: String,
     /// Its class.
@@ -287,7 +287,7 @@
     /// From now on every new request is refused: the program is about to end.
     RefuseNew,
     /// The program is ended by force then: no request that comes from now on is given longer.
-    EndBy(Micros),
+    ShutdownBy(Micros),
 }
 
 /// What the core wants done.
--- a/src/front/http/mod.rs
+++ b/src/front/http/mod.rs
@@ -52,7 +52,7 @@
         let front = front.clone();
         async move { connection(stream, &seat, &front).await }
     };
-    super::accept(listener, most, "client", front.life.doors_shut(), each).await;
+    super::accept(listener, most, "client", front.life.stop_accepting(), each).await;
 }
 
 /// When the first request of a connection that has just come is due.
@@ -163,8 +163,8 @@
         if !client.buffer.is_empty() {
             return Ok(true);
         }
-        let parted = async {
-            self.life.parted().await;
+        let close_idle = async {
+            self.life.close_idle().await;
             // What the machine has received of a connection that has only just been accepted shows one turn later.
             tokio::task::yield_now().await;
         };
@@ -174,7 +174,7 @@
                 Ok(read) => Ok(read? > 0),
                 Err(_) => Ok(false),
             },
-            () = parted => Ok(false),
+            () = close_idle => Ok(false),
         }
     }
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -137,19 +137,19 @@
     listener: TcpListener,
     most: usize,
     who: &'static str,
-    doors_shut: impl Future<Output = usize>,
+    stop_accepting: impl Future<Output = usize>,
     each: F,
 ) where
     F: Fn(TcpStream, Seat) -> T,
     T: Future<Output = std::io::Result<()>> + Send + 'static,
 {
     let places = Arc::new(Mutex::new(Places::default()));
-    let mut doors_shut = std::pin::pin!(doors_shut);
+    let mut stop_accepting = std::pin::pin!(stop_accepting);
     let mut still = None;
     while still != Some(0) {
         let accepted = tokio::select! {
             biased;
-            most = &mut doors_shut, if still.is_none() => {
+            most = &mut stop_accepting, if still.is_none() => {
                 still = Some(most);
                 continue;
             }
--- a/src/front/tds/mod.rs
+++ b/src/front/tds/mod.rs
@@ -70,7 +70,7 @@
         let front = front.clone();
         async move { serve_one(stream, &seat, &front).await }
     };
-    super::accept(listener, most, "TDS", front.life.doors_shut(), each).await;
+    super::accept(listener, most, "TDS", front.life.stop_accepting(), each).await;
 }
 
 struct Connection<'a> {
@@ -164,7 +164,7 @@
                             return Ok(());
                         }
                     }
-                    () = self.front.life.parted() => return Ok(()),
+                    () = self.front.life.close_idle() => return Ok(()),
                 }
             }
             let next = tokio::time::timeout(MESSAGE_TIME, self.next()).await;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -410,7 +410,7 @@
     /// Nobody waits for this request any more.
     ClientGone(RequestId),
     /// The gateway is ended by force then: no request has longer.
-    EndBy(Millis),
+    ShutdownBy(Millis),
     /// A timer came due.
     Timer(u64),
 }
--- a/src/life.rs
+++ b/src/life.rs
@@ -108,7 +108,7 @@
     }
 
     /// Ends when an open connection that brings nothing shall be closed.
-    pub async fn parted(&self) {
+    pub async fn close_idle(&self) {
         self.after(|phase| match phase {
             Phase::Starting | Phase::Ready => None,
             Phase::Stopping => Some(STILL_COMING),
@@ -119,7 +119,7 @@
 
     /// Ends when no new connections are accepted any more: at once where others accept on the socket, and else once
     /// nobody comes. Gives how many may stand in the socket's queue that nobody else takes.
-    pub async fn doors_shut(&self) -> usize {
+    pub async fn stop_accepting(&self) -> usize {
         self.after(|phase| match phase {
             Phase::Starting | Phase::Ready | Phase::Drained => None,
             Phase::Stopping => Some(STILL_COMING),
@@ -181,10 +181,10 @@
             life.apply(event).unwrap();
         }
         let short = Duration::from_millis(400);
-        assert!(tokio::time::timeout(short, life.parted()).await.is_err(), "too soon");
+        assert!(tokio::time::timeout(short, life.close_idle()).await.is_err(), "too soon");
         life.apply(Event::Resume).unwrap();
-        assert!(tokio::time::timeout(10 * PART_AFTER, life.parted()).await.is_err(), "taken back");
+        assert!(tokio::time::timeout(10 * PART_AFTER, life.close_idle()).await.is_err(), "taken back");
         life.apply(Event::Quiesce).unwrap();
-        assert!(tokio::time::timeout(2 * PART_AFTER, life.parted()).await.is_ok());
+        assert!(tokio::time::timeout(2 * PART_AFTER, life.close_idle()).await.is_ok());
     }
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -351,7 +351,7 @@
                 self.draws.restore(engine);
             }
             Event::ClientGone(id) => self.on_gone(id),
-            Event::EndBy(at) => {
+            Event::ShutdownBy(at) => {
                 let open: Vec<_> = self.jobs.keys().copied().collect();
                 open.into_iter().for_each(|id| self.end_by(id, at));
             }
--- a/src/main.rs
+++ b/src/main.rs
@@ -213,7 +213,7 @@
             every if every > 0.0 => Micros::from_ms(every * WORDS_MISSING).max(LINE_WITHIN),
             _ => SILENT_AFTER,
         },
-        tells: config.front.settings.engines.notes_every_ms > 0.0,
+        reports_progress: config.front.settings.engines.notes_every_ms > 0.0,
         line_within: LINE_WITHIN,
         // A little before the engine does, so that no request crosses its close.
         idle_after: Micros::from_ms(config.keepalive_ms * 0.8),
@@ -334,8 +334,8 @@
         }
     }
     life.apply(Event::Terminate)?;
-    let end_by = clock.now() + counted + FORCED_AFTER - KEPT_FOR_ANSWERS;
-    handle.tell(Input::EndBy(end_by)).await?;
+    let shutdown_by = clock.now() + counted + FORCED_AFTER - KEPT_FOR_ANSWERS;
+    handle.tell(Input::ShutdownBy(shutdown_by)).await?;
     if let Some(place) = leaving {
         tokio::spawn(handover::leave(place, clock, life.clone()));
     }
@@ -355,7 +355,7 @@
         }
         Ok::<(), service::Ended>(())
     };
-    let last = clock.instant(end_by + Micros(KEPT_FOR_ANSWERS.0 / 2));
+    let last = clock.instant(shutdown_by + Micros(KEPT_FOR_ANSWERS.0 / 2));
     match tokio::time::timeout_at(last.into(), served).await {
         Ok(served) => {
             served?;
