Where engines tell nothing, a connection without probes is not taken for silent either

Cause: back/lines/connection.rs: one mark for 'owes word' and 'does not read'. Change: two marks; the second goes with every byte that leaves.

--- a/src/back/lines/connection.rs
+++ b/src/back/lines/connection.rs
@@ -60,6 +60,8 @@
     used: Micros,
     /// Since when the engine owes word and has sent none. Probes that timed out leave it as it is.
     owes_since: Option<Micros>,
+    /// Since when the engine has taken nothing of what is to be written.
+    unread_since: Option<Micros>,
     /// Since when a line is there in part.
     part_since: Option<Micros>,
 }
@@ -105,6 +107,7 @@
         heard: now,
         used: now,
         owes_since: None,
+        unread_since: None,
         part_since: None,
     };
     let (over, unwritten) = match stream {
@@ -168,6 +171,10 @@
             if self.owes() {
                 self.owes_since.get_or_insert(self.uplink.clock.now());
             }
+            match self.unwritten.is_empty() {
+                true => self.unread_since = None,
+                false => _ = self.unread_since.get_or_insert(self.uplink.clock.now()),
+            }
             let wake = self.next_wake();
             tokio::select! {
                 // What the engine has said goes first: nothing is written to one that has closed.
@@ -237,15 +244,16 @@
             && self.waiting.is_empty())
     }
 
-    /// Whether the engine owes word, or at least to read.
+    /// Whether the engine owes word.
     fn owes(&self) -> bool {
         let tells = self.uplink.limits.reports_progress && !self.carried.is_empty();
-        tells || !(self.probes.is_empty() && self.stops.is_empty() && self.unwritten.is_empty())
+        tells || !(self.probes.is_empty() && self.stops.is_empty())
     }
 
     /// An engine that owes word sends some all the time; one that does not is cut off or stands still.
     fn silent_at(&self) -> Option<Micros> {
-        self.owes_since.map(|since| since + self.uplink.limits.silent_after)
+        let since = self.owes_since.into_iter().chain(self.unread_since).min();
+        since.map(|since| since + self.uplink.limits.silent_after)
     }
 
     /// Carries an order out.
@@ -294,6 +302,7 @@
 
     /// So many bytes have left.
     fn written(&mut self, bytes: usize) {
+        self.unread_since = None;
         if let Some(partial) = &mut self.partial {
             partial.left = partial.left.saturating_sub(bytes);
             if partial.left == 0 {
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -238,10 +238,10 @@
 
 /// Guards against work that is given up as lost in the middle of it, and never served: where engines tell nothing
 /// of a request that runs, their silence on it says nothing.
-#[test]
-fn work_of_which_engines_tell_nothing_runs_to_its_end() {
+#[rstest]
+fn work_of_which_engines_tell_nothing_runs_to_its_end(#[values(true, false)] probes: bool) {
     let engine = engines::lines();
-    let program = start(&[engine.address], json!({}));
+    let program = start(&[engine.address], if probes { json!({}) } else { quiet(250) });
     let reply = read_reply(&mut program.send("r", "report", 15_000, None, "SELECT long nap")).unwrap();
     assert_eq!((reply.status, engine.count("SELECT long nap")), (200, 1));
 }
