Voters wait by their place in the group as it is now: no two stand at once for ever

Cause: crates/cluster/src/voter.rs start(): each voter waits 10 ticks and 2 for each place before it, but the place was counted once, in the group of its own start. m2 was let in under a new number (the lowest) and had no place in the table that it began with, so it waited as the third; m0 was the third of the founders. Both waited 14 ticks (0.7 s) each time, heard the last word of the leader at the same moment, and split the votes for as long as their ticks fell together. Ruled out: messages lost on the links (none refused since, 'refused' counts five of before it voted); a change of the group that m0 had not carried out (both tables are the same).

Change: the place is taken from the table as it is carried out, at each tick. What a voter shows of itself says that it is not in the group yet until its own log has it ('votes in term 1' was shown before). The rig's 'nobody holds' tells what each manager shows. Test: voter::tests::one_that_was_let_in_and_another_do_not_stand_for_election_at_once, ticks in step and numbers as above: 1000 ticks without a leader before, one election after.

--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -343,6 +343,9 @@
         match &self.vote {
             Vote::None => "no voter".to_owned(),
             Vote::Waiting(_) => "waits for the group to be founded".to_owned(),
+            Vote::Voter(voter) if !voter.is_member() => {
+                "is not in the group, as far as its log goes".to_owned()
+            }
             Vote::Voter(voter) if voter.leads() => format!("leads in term {}", voter.term()),
             Vote::Voter(voter) => format!("votes in term {}", voter.term()),
             Vote::Out(why) => format!("has no vote: {why}"),
--- a/crates/cluster/src/voter.rs
+++ b/crates/cluster/src/voter.rs
@@ -15,9 +15,12 @@
 pub const TICK_US: u64 = 50_000;
 /// A leader that is not heard for 10 ticks (0.5 s) and more is replaced; it speaks every 2 (0.1 s).
 const TICKS: (usize, usize) = (10, 2);
-/// Voters wait 2 ticks longer one after another, in the order of their numbers: two do not stand for election at once,
-/// and a play from a seed is the same each time. (The library's own spread draws from the system.)
+/// Voters wait 2 ticks longer one after another, in the order of their numbers in the group as it is now: two do not
+/// stand for election at once, and a play from a seed is the same each time. (The library's own spread draws from the
+/// system.)
 const APART: usize = 2;
+/// Places of that order; a group has 3, 5 or 7 voters, and one more while another is let in.
+const PLACES: usize = 8;
 /// Bytes of log in one message.
 const MOST_BYTES: u64 = 64 * 1024;
 /// Messages with log that one voter may owe its word for.
@@ -220,8 +223,6 @@
             return Err(Failed::Kept("the log has a hole".to_owned()));
         }
         let conf = snapshot.get_metadata().get_conf_state().clone();
-        let place = table.voters.keys().position(|voter| *voter == id).unwrap_or(table.voters.len());
-        let first = TICKS.0 + place * APART;
         let inner = MemStorage::new();
         inner.wl().apply_snapshot(snapshot)?;
         inner.wl().append(&entries)?;
@@ -230,8 +231,8 @@
             id,
             election_tick: TICKS.0,
             heartbeat_tick: TICKS.1,
-            min_election_tick: first,
-            max_election_tick: first + 1,
+            min_election_tick: TICKS.0,
+            max_election_tick: TICKS.0 + PLACES * APART,
             applied: index,
             max_size_per_msg: MOST_BYTES,
             max_inflight_msgs: IN_FLIGHT,
@@ -258,6 +259,11 @@
         self.node.raft.state == StateRole::Leader
     }
 
+    /// Whether the group has it, as far as it knows: one that was just let in has yet to get the log.
+    pub fn is_member(&self) -> bool {
+        self.table().voters.contains_key(&self.id)
+    }
+
     /// The leader that it knows of.
     pub fn leader(&self) -> Option<u64> {
         Some(self.node.raft.leader_id).filter(|id| *id != 0)
@@ -270,6 +276,9 @@
 
     /// [`TICK_US`] have passed.
     pub fn tick(&mut self) {
+        // The library draws its time anew at each change of term; what holds is what stands when it counts.
+        let place = self.table().voters.keys().position(|voter| *voter == self.id).unwrap_or(0);
+        self.node.raft.set_randomized_election_timeout(TICKS.0 + place % PLACES * APART);
         self.node.tick();
     }
 
@@ -420,3 +429,6 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -362,7 +362,14 @@
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        Err(RigError::Program(format!("nobody holds {duty}")))
+        let mut seen = String::new();
+        for number in self.running() {
+            match self.view(number).await {
+                Ok(view) => seen.push_str(&format!("; m{number}: {view}")),
+                Err(why) => seen.push_str(&format!("; m{number}: {why}")),
+            }
+        }
+        Err(RigError::Program(format!("nobody holds {duty}{seen}")))
     }
 
     /// Waits until what one manager shows of the fleet fits.
