Managers with a part of an engine under the least cap go by fresh word, not by caps

Cause: logic.rs: with 32 managers on engines of 16 and 32 cores a manager's part is 0.6 and 1.2 threads of the mark, and its least cap (CAP_LEAST, 2 threads) is more, so the caps of all together let 4 threads a core on; and an engine that pages has few busy cores, which is all that a manager went by there. Fresh word and the memory told were for parts under 1 thread only (CAP_TINY), a figure of its own beside the least cap.

Test: an_engine_that_tells_of_a_full_memory_takes_nothing_..., second case: it failed before (one request sent).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -23,8 +23,8 @@
 const WINDOW_COUNT: usize = 1000; // a stream looks back on this many completions
 const WINDOW_MS: f64 = 10_000.0; // and on this time (ms)
 const REFIT_MS: f64 = 500.0; // time between two refits (ms): one for each request costs too much
-const CAP_LEAST: f64 = 2.0; // the least cap of one gateway on one engine (threads)
-const CAP_TINY: f64 = 1.0; // a part of an engine under this is no query: fresh word decides (threads)
+/// The least cap of one gateway on one engine (threads). With a part under it caps bind nothing: word does.
+const CAP_LEAST: f64 = 2.0;
 
 // --- Pressure ---
 /// The mark: threads a core of a full engine. It rises below the low stretch, and falls over the high one.
@@ -187,12 +187,12 @@
     part: f64, // this gateway's part of all traffic
     draw_at: Millis,
     least: BTreeMap<ZoneId, Millis>, // the quickest probe of each zone
-    tiny: bool,   // a part of an engine is no query: goes by fresh word of the engines that it draws
-    full: f64,    // threads a core of a full engine
+    tiny: bool, // its part of an engine is under the least cap: goes by fresh word of those that it draws
+    full: f64,  // threads a core of a full engine
     stretch: f64, // time over time alone, of best-effort answers whose work is told
-    slow: f64,    // median slowness of the engines
+    slow: f64,  // median slowness of the engines
     listed: usize, // engines that are not gone
-    crowd: f64,   // gateways as busy as this one that read the same word, where it is all they go by
+    crowd: f64, // gateways as busy as this one that read the same word, where it is all they go by
     readers: f64, // over those counted: more where engines tell of a memory that is over full
 }
 
@@ -297,7 +297,7 @@
         };
         let part = 1.0 / settings.gateways.max(1) as f64;
         let cores = settings.kinds.iter().filter_map(|kind| kind.cores).fold(0.0, f64::max);
-        let tiny = settings.limits.probes && cores * FULL_FIRST.0 * part < CAP_TINY && cores > 0.0;
+        let tiny = settings.limits.probes && cores * FULL_FIRST.0 * part < CAP_LEAST && cores > 0.0;
         let full = if tiny { FULL_FIRST.1 } else { FULL_FIRST.0 };
         let mut gateway = Gateway {
             classes: settings.classes.iter().map(stats).collect(),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -421,14 +421,22 @@
     out
 }
 
-/// A jammed engine looks idle by its busy share: one of many gateways goes by what it tells of its memory.
-#[test]
-fn an_engine_that_tells_of_a_full_memory_takes_nothing_from_one_gateway_of_many() {
-    let settings = Settings { gateways: 300, ..settings(ClassSettings::default()) };
+/// A jammed engine looks idle by its busy share: one of many gateways goes by what it tells of its memory. It is one of
+/// many where its part of an engine (32 x 1.2 / 32 threads) is less than the least that it may have there (2): all of
+/// them together, each under its cap, would fill the engine many times over.
+#[rstest::rstest]
+#[case(300, 8.0)]
+#[case(32, 32.0)]
+fn an_engine_that_tells_of_a_full_memory_takes_nothing_from_one_gateway_of_many(
+    #[case] gateways: usize,
+    #[case] cores: f64,
+) {
+    let mut settings = Settings { gateways, ..settings(ClassSettings::default()) };
+    settings.kinds.fill(KindSettings { cores: Some(cores), memory_mb: None });
     for (memory, sent) in [(4.0, 0), (0.5, 1)] {
         let mut gateway = gateway(settings.clone(), &[engine(1)]);
-        take(&mut gateway, 1.0, request(1));
-        assert_eq!(sends(&told(&mut gateway, 3.0, 1, memory)).len(), sent, "{memory}");
+        let before = sends(&take(&mut gateway, 1.0, request(1))).len();
+        assert_eq!(before + sends(&told(&mut gateway, 3.0, 1, memory)).len(), sent, "{memory}");
     }
 }
 
