--- a/src/back/lines/connection.rs
+++ b/src/back/lines/connection.rs
@@ -165,6 +165,9 @@
                     return ended.into();
                 }
             }
+            if self.owes() {
+                self.owes_since.get_or_insert(self.uplink.clock.now());
+            }
             let wake = self.next_wake();
             tokio::select! {
                 // What the engine has said goes first: nothing is written to one that has closed.
@@ -183,7 +186,6 @@
                     if let Some(end) = end {
                         return Over::Connection(end);
                     }
-                    self.owes_since = self.is_busy().then_some(self.heard);
                 }
                 order = orders.recv() => match order {
                     Some(order) => {
@@ -216,7 +218,8 @@
     fn next_wake(&self) -> Instant {
         let limits = &self.uplink.limits;
         let probes = self.probes.values().map(|sent| *sent + limits.probe_timeout);
-        let unheard = self.carried.values().map(|carried| carried.heard + limits.silent_after);
+        let told = self.carried.values().filter(|_| limits.tells);
+        let unheard = told.map(|carried| carried.heard + limits.silent_after);
         let part = self.part_since.map(|since| since + limits.line_within);
         let at = probes
             .chain(unheard)
@@ -234,6 +237,12 @@
             && self.waiting.is_empty())
     }
 
+    /// Whether the engine owes word, or at least to read.
+    fn owes(&self) -> bool {
+        let tells = self.uplink.limits.tells && !self.carried.is_empty();
+        tells || !(self.probes.is_empty() && self.stops.is_empty() && self.unwritten.is_empty())
+    }
+
     /// An engine that owes word sends some all the time; one that does not is cut off or stands still.
     fn silent_at(&self) -> Option<Micros> {
         self.owes_since.map(|since| since + self.uplink.limits.silent_after)
@@ -242,12 +251,9 @@
     /// Carries an order out.
     fn order(&mut self, order: Order, now: Micros) -> Result<(), Over> {
         self.used = now;
-        if matches!(order, Order::Launch(..) | Order::Probe) {
-            self.owes_since.get_or_insert(now);
-        }
         match order {
             Order::Launch(attempt, call) => self.waiting.push_back((attempt, call)),
-            Order::Halt(attempt, confirm) => self.halt(attempt, confirm, now)?,
+            Order::Halt(attempt, confirm) => self.halt(attempt, confirm)?,
             Order::Rank(attempt, priority) => {
                 let waiting = self.waiting.iter_mut().filter(|(waiting, _)| *waiting == attempt);
                 waiting.for_each(|(_, call)| call.priority = priority);
@@ -272,14 +278,12 @@
         while self.unwritten.is_empty()
             && let Some((attempt, call)) = self.waiting.pop_front()
         {
-            match call.recall.is_recalled() {
+            let now = self.uplink.clock.now();
+            match call.recall.is_recalled(now) {
                 true => self.unbegun(attempt),
-                false => self.launch(attempt, call, self.uplink.clock.now()),
+                false => self.launch(attempt, call, now),
             }
         }
-        if !self.is_busy() {
-            self.owes_since = None;
-        }
     }
 
     /// Nothing, or not the whole, of an attempt was written: it never ran.
@@ -300,7 +304,7 @@
 
     /// Gives an attempt up. One that is not begun is not written; one that is there in part ends the connection, as
     /// its rest must not reach the engine and nothing else can be written before it.
-    fn halt(&mut self, attempt: AttemptId, confirm: bool, now: Micros) -> Result<(), Over> {
+    fn halt(&mut self, attempt: AttemptId, confirm: bool) -> Result<(), Over> {
         if let Some(at) = self.waiting.iter().position(|(waiting, _)| *waiting == attempt) {
             self.waiting.remove(at);
             self.unbegun(attempt);
@@ -318,7 +322,6 @@
                 self.probe_count += 1;
                 let tag = format!("h{}", self.probe_count);
                 self.line(format_args!("HELO {tag}\r\n"));
-                self.owes_since.get_or_insert(now);
                 self.stops.insert(tag, attempt);
             }
         }
@@ -497,7 +500,8 @@
             return Err(Over::Connection(ConnectionEnd::Garbled));
         }
         // Guards against an answer, or a page, that never comes: the request may go elsewhere before its end.
-        let unheard = self.carried.iter().filter(|(_, one)| now >= one.heard + limits.silent_after);
+        let told = self.carried.iter().filter(|_| limits.tells);
+        let unheard = told.filter(|(_, one)| now >= one.heard + limits.silent_after);
         let unheard: Vec<String> = unheard.map(|(name, _)| name.clone()).collect();
         for name in unheard {
             log::warn!("an engine says no more of request {name}: given up there");
--- a/src/back/tds/connection.rs
+++ b/src/back/tds/connection.rs
@@ -80,7 +80,7 @@
             }
         };
         let (alive, told) = match order {
-            Order::Launch(attempt, call) if call.recall.is_recalled() => {
+            Order::Launch(attempt, call) if call.recall.is_recalled(context.uplink.clock.now()) => {
                 (true, context.uplink.ended(attempt, ConnectionEnd::NeverWritten).await)
             }
             Order::Launch(attempt, call) => {
@@ -247,8 +247,9 @@
     let (mut table, mut usage, mut failed) = (Table::default(), None, None);
     let mut bytes = context.uplink.collect();
     link.heard = context.uplink.clock.now();
+    let limits = &context.uplink.limits;
     loop {
-        let silent = link.heard + context.uplink.limits.silent_after;
+        let silent = context.uplink.clock.instant(link.heard + limits.silent_after);
         let token = tokio::select! {
             token = link.token() => match token {
                 Ok(token) => token,
@@ -261,7 +262,7 @@
             },
             // An engine that runs a request sends word all the time. Whether the engine itself stands still is
             // for the probes to say, which have connections of their own.
-            () = tokio::time::sleep_until(context.uplink.clock.instant(silent).into()) => {
+            () = tokio::time::sleep_until(silent.into()), if limits.tells => {
                 log::warn!("a TDS engine says no more of request {}: given up there", call.name);
                 return lost(ConnectionEnd::Unheard);
             }
--- a/src/core/types.rs
+++ b/src/core/types.rs
@@ -94,17 +94,26 @@
 /// Takes an attempt back as long as nothing of it is written: whoever writes it asks right before. Orders come by
 /// queues, and may stand there behind a connection that comes up late; this is seen at once.
 #[derive(Debug, Clone, Default)]
-pub struct Recall(Arc<AtomicBool>);
+pub struct Recall {
+    recalled: Arc<AtomicBool>,
+    /// From then on engines would take it for another request than the one that may have run.
+    repeat_until: Option<Micros>,
+}
 
 impl Recall {
+    /// For an attempt that may be begun until then, where that is bound.
+    pub fn until(repeat_until: Option<Micros>) -> Recall {
+        Recall { recalled: Arc::default(), repeat_until }
+    }
+
     /// Nothing of the attempt is to be written from now on.
     pub fn recall(&self) {
-        self.0.store(true, Ordering::Relaxed);
+        self.recalled.store(true, Ordering::Relaxed);
     }
 
-    /// Whether the attempt was taken back.
-    pub fn is_recalled(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+    /// Whether the attempt was taken back, or comes too late.
+    pub fn is_recalled(&self, now: Micros) -> bool {
+        self.recalled.load(Ordering::Relaxed) || self.repeat_until.is_some_and(|until| now >= until)
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -213,6 +213,7 @@
             every if every > 0.0 => Micros::from_ms(every * WORDS_MISSING).max(LINE_WITHIN),
             _ => SILENT_AFTER,
         },
+        tells: config.front.settings.engines.notes_every_ms > 0.0,
         line_within: LINE_WITHIN,
         // A little before the engine does, so that no request crosses its close.
         idle_after: Micros::from_ms(config.keepalive_ms * 0.8),
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -223,3 +223,25 @@
     let state = || program.admin("GET", "/engines", TOKEN).json()["engines"][0]["state"].clone();
     until("the first engine drains", || state() == "draining");
 }
+
+/// Guards against an idle connection on which probes go unanswered for ever: the engine was out until its idle time.
+#[test]
+fn a_connection_on_which_only_probes_are_unanswered_is_left() {
+    let blocked = Blocked::start();
+    let mut settings = settings();
+    settings["allowed"]["connectTimeoutMs"] = json!(250);
+    let program = start(&[blocked.engine.address], json!({ "settings": settings }));
+    std::thread::sleep(ms(4000)); // the first connection has been silent for 3 s
+    let reply = read_reply(&mut program.send("r", "lookup", 4900, None, "SELECT 1")).unwrap();
+    assert_eq!((reply.status, blocked.engine.count("SELECT 1")), (200, 1));
+}
+
+/// Guards against work that is given up as lost in the middle of it, and never served: where engines tell nothing
+/// of a request that runs, their silence on it says nothing.
+#[test]
+fn work_of_which_engines_tell_nothing_runs_to_its_end() {
+    let engine = engines::lines();
+    let program = start(&[engine.address], json!({}));
+    let reply = read_reply(&mut program.send("r", "report", 15_000, None, "SELECT long nap")).unwrap();
+    assert_eq!((reply.status, engine.count("SELECT long nap")), (200, 1));
+}
