Logging: each step of a request is one line with its number, name and reason

To find why a retry began beside a running attempt, the log named neither the client's id with the attempt, nor when an attempt was started, cancelled or given up and why.

--- a/src/core/accounting.rs
+++ b/src/core/accounting.rs
@@ -125,6 +125,12 @@
     pub(super) fn answer(&mut self, now: Micros, request: u64, answer: Answer, out: &mut Vec<Command>) {
         let Some(open) = self.requests.remove(&request) else { return };
         self.accounting.count_answer(&self.front, &self.roster, &open, &answer, now);
+        log::debug!(
+            request, name = open.incoming.name.as_str(), class = open.incoming.class.as_str(),
+            answer = answer.kind(), age_ms = (now - open.received_at).as_ms(),
+            remaining_ms = (open.deadline - now).as_ms(), state:? = open.state;
+            "request answered"
+        );
         self.close(now, request, &open, out);
         out.push(Command::Answer { request, answer });
     }
--- a/src/core/admission.rs
+++ b/src/core/admission.rs
@@ -36,6 +36,12 @@
             out.push(Command::Answer { request, answer });
             return;
         }
+        log::debug!(
+            request, name = open.incoming.name.as_str(), class = open.incoming.class.as_str(),
+            key = open.incoming.idempotency_key.as_deref().unwrap_or("-"),
+            remaining_ms = (open.deadline - now).as_ms();
+            "request admitted"
+        );
         let event = Event::Request(Request {
             id: RequestId(request),
             class: ClassId(open.class),
--- a/src/core/attempt_events.rs
+++ b/src/core/attempt_events.rs
@@ -49,6 +49,11 @@
     pub(super) fn client_disconnected(&mut self, now: Micros, request: u64, out: &mut Vec<Command>) {
         if let Some(open) = self.requests.remove(&request) {
             self.accounting.count_disconnected(&self.front, &self.roster, &open);
+            log::debug!(
+                request, name = open.incoming.name.as_str(), age_ms = (now - open.received_at).as_ms(),
+                state:? = open.state;
+                "client disconnected"
+            );
             self.close(now, request, &open, out);
             self.decide(now, Event::ClientDisconnected(RequestId(request)), out);
         }
--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -140,6 +140,12 @@
             return;
         }
         open.state = RequestState::Running(attempt.number);
+        log::debug!(
+            request:% = attempt, name = open.incoming.name.as_str(), class = open.incoming.class.as_str(),
+            engine = self.engines.get(&engine).map_or("?", |known| known.name.as_str()),
+            remaining_ms = remaining.as_ms();
+            "attempt started"
+        );
         let timeout = if timeout.0 > 0 { timeout.min(remaining) } else { remaining };
         let call = call(open, cancel_token, timeout);
         self.timers.set(now + timeout, Timer::AttemptTimeout(attempt));
@@ -163,6 +169,11 @@
         running.cancelled_as = Some(outcome);
         running.cancel_token.cancel();
         let confirm = self.requests.contains_key(&attempt.request);
+        log::debug!(
+            request:% = attempt, engine = self.engines.get(&running.engine).map_or("?", |known| known.name.as_str()),
+            reason:? = outcome, awaits_confirmation = confirm;
+            "attempt cancelled"
+        );
         out.push(Command::CancelAttempt { attempt, engine: running.engine, confirm });
         let wait = if confirm { CANCEL_CONFIRM_TIMEOUT } else { Micros(0) };
         self.timers.set(now + wait, Timer::CancelUnconfirmed(attempt));
@@ -234,9 +245,11 @@
             return;
         }
         let engine = self.engines.get(&ended.engine).map_or("?", |engine| &engine.name);
-        let class = self.requests.get(&attempt.request).map_or("-", |open| &open.incoming.class);
+        let open = self.requests.get(&attempt.request);
+        let class = open.map_or("-", |open| &open.incoming.class);
+        let name = open.map_or("-", |open| &open.incoming.name);
         log::debug!(
-            "attempt at={} us={} engine={engine} end={outcome:?} request={attempt} class={class}",
+            "attempt at={} us={} engine={engine} end={outcome:?} request={attempt} class={class} name={name}",
             ended.sent_at.0,
             (now - ended.sent_at).0
         );
--- a/src/core/types/request.rs
+++ b/src/core/types/request.rs
@@ -62,3 +62,16 @@
     /// It can't be used, and nothing was done about it.
     Invalid(Invalid),
 }
+
+impl Answer {
+    /// Its name in the log.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Rejected { .. } => "rejected",
+            Answer::Failed(_) => "failed",
+            Answer::Cancelled => "cancelled",
+            Answer::Invalid(_) => "invalid",
+        }
+    }
+}
--- a/src/upstream/line_protocol/connection/in_flight.rs
+++ b/src/upstream/line_protocol/connection/in_flight.rs
@@ -12,6 +12,8 @@
 /// pages costs an attempt and not the answer.
 pub(super) struct InFlight {
     pub(super) attempt: AttemptId,
+    /// When its first byte was handed to the output.
+    pub(super) began_at: Micros,
     /// When the engine last mentioned it; engines that report progress do so until the answer.
     pub(super) last_mention: Micros,
     pub(super) usage: Option<Usage>,
@@ -38,7 +40,15 @@
 
 impl InFlight {
     pub(super) fn new(attempt: AttemptId, now: Micros, budget: ResultBudget) -> InFlight {
-        InFlight { attempt, last_mention: now, usage: None, report: None, budget, pages: Vec::new() }
+        InFlight {
+            attempt,
+            began_at: now,
+            last_mention: now,
+            usage: None,
+            report: None,
+            budget,
+            pages: Vec::new(),
+        }
     }
 
     /// Keeps one page of the result.
--- a/src/upstream/line_protocol/connection/responses.rs
+++ b/src/upstream/line_protocol/connection/responses.rs
@@ -126,7 +126,11 @@
     /// Stops one request whose answer is of no more use; the others go on.
     pub(super) async fn give_up(&mut self, request: &str, end: ConnectionEnd) -> Result<(), ServiceEnded> {
         match self.stop_request(request) {
-            Some(in_flight) => self.context.ended(in_flight.attempt, end).await,
+            Some(in_flight) => {
+                let age_ms = (self.context.clock.now() - in_flight.began_at).as_ms();
+                log::debug!(request:% = in_flight.attempt, name = request, reason:? = end, age_ms; "request given up");
+                self.context.ended(in_flight.attempt, end).await
+            }
             None => Ok(()),
         }
     }
