--- a/tests/common/engines/line_protocol_session.rs
+++ b/tests/common/engines/line_protocol_session.rs
@@ -1,6 +1,6 @@
 //! A connection with an emulated engine of the line protocol.
 
-use super::Received;
+use super::{Paused, Received, wait_while_paused};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
@@ -10,13 +10,15 @@
 const PROGRESS: &str = "status n=share,val=0.1 0\r\n\r\n";
 
 /// Serves a connection until it is closed, or a statement closes it.
-pub fn speak_line_protocol(stream: TcpStream, received: &Received) -> std::io::Result<()> {
+pub fn speak_line_protocol(stream: TcpStream, received: &Received, paused: &Paused) -> std::io::Result<()> {
     let out = stream.try_clone()?;
     let mut input = BufReader::new(stream);
     let mut session = Session { out, received, closes_at_fetch: HashMap::new(), huge: false };
     loop {
         let mut line = String::new();
-        if input.read_line(&mut line)? == 0 {
+        let length = input.read_line(&mut line)?;
+        wait_while_paused(paused);
+        if length == 0 {
             session.record("END OF CONNECTION".to_owned());
             return Ok(());
         }
--- a/tests/common/engines/mod.rs
+++ b/tests/common/engines/mod.rs
@@ -16,44 +16,82 @@
 
 use line_protocol_session::speak_line_protocol;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tds_session::speak_tds;
 
 /// What an engine has received, in order: the lines, or the statements and attentions of TDS.
 pub type Received = Arc<Mutex<Vec<String>>>;
 
+/// Whether an engine is paused: it accepts connections and reads nothing of what they carry.
+pub type Paused = Arc<AtomicBool>;
+
+/// How often a paused engine looks whether it is resumed.
+const RESUME_POLL: Duration = Duration::from_millis(1);
+
+/// Waits while an engine is paused.
+fn wait_while_paused(paused: &Paused) {
+    while paused.load(Ordering::Relaxed) {
+        std::thread::sleep(RESUME_POLL);
+    }
+}
+
 /// A running engine.
 pub struct Engine {
     /// The address that it listens at.
     pub address: SocketAddr,
     /// What it has received.
     pub received: Received,
+    paused: Paused,
 }
 
 impl Engine {
+    fn new(address: SocketAddr) -> Engine {
+        Engine { address, received: Received::default(), paused: Paused::default() }
+    }
+
+    /// Pauses the engine, or resumes it. Only engines of the line protocol can be paused.
+    pub fn pause(&self, paused: bool) {
+        self.paused.store(paused, Ordering::Relaxed);
+    }
+
     /// How many entries of what it has received contain a text.
     pub fn count(&self, text: &str) -> usize {
         self.received.lock().unwrap().iter().filter(|line| line.contains(text)).count()
     }
 }
 
-type ServeConnection = fn(TcpStream, Received);
+type ServeConnection = fn(TcpStream, Received, Paused);
 
 fn start(serve: ServeConnection) -> Engine {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let engine = Engine { address: listener.local_addr().unwrap(), received: Received::default() };
-    let received = engine.received.clone();
-    std::thread::spawn(move || accept(&listener, &received, serve));
+    let engine = Engine::new(listener.local_addr().unwrap());
+    accept_in_background(listener, &engine, serve);
     engine
 }
 
-fn accept(listener: &TcpListener, received: &Received, serve: ServeConnection) {
+fn accept_in_background(listener: TcpListener, engine: &Engine, serve: ServeConnection) {
+    let (received, paused) = (engine.received.clone(), engine.paused.clone());
+    std::thread::spawn(move || accept(&listener, &received, &paused, serve));
+}
+
+fn accept(listener: &TcpListener, received: &Received, paused: &Paused, serve: ServeConnection) {
     for stream in listener.incoming().flatten() {
-        let received = received.clone();
-        std::thread::spawn(move || serve(stream, received));
+        let (received, paused) = (received.clone(), paused.clone());
+        std::thread::spawn(move || serve(stream, received, paused));
     }
 }
 
+fn serve_line_protocol(stream: TcpStream, received: Received, paused: Paused) {
+    // The connection is closed, or broke: the engine serves others.
+    let _ended = speak_line_protocol(stream, &received, &paused);
+}
+
+fn serve_tds(stream: TcpStream, received: Received, _paused: Paused) {
+    let _ended = speak_tds(stream, &received);
+}
+
 /// An engine that does not accept connections yet: the backlog of its socket is full, so the kernel drops the first
 /// packet of each connection. Clients send it again about a second later.
 pub struct LateEngine {
@@ -68,12 +106,12 @@
 impl LateEngine {
     /// One with the line protocol.
     pub fn line_protocol() -> LateEngine {
-        LateEngine::start(|stream, received| drop(speak_line_protocol(stream, &received)))
+        LateEngine::start(serve_line_protocol)
     }
 
     /// One with TDS.
     pub fn tds() -> LateEngine {
-        LateEngine::start(|stream, received| drop(speak_tds(stream, &received)))
+        LateEngine::start(serve_tds)
     }
 
     fn start(serve: ServeConnection) -> LateEngine {
@@ -86,10 +124,10 @@
         listener.set_nonblocking(false).unwrap();
         let address = listener.local_addr().unwrap();
         let mut backlog = Vec::new();
-        while let Ok(stream) = TcpStream::connect_timeout(&address, std::time::Duration::from_millis(100)) {
+        while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(100)) {
             backlog.push(stream);
         }
-        let engine = Engine { address, received: Received::default() };
+        let engine = Engine::new(address);
         LateEngine { engine, backlog, listener, serve }
     }
 
@@ -98,8 +136,7 @@
         for _ in &self.backlog {
             drop(self.listener.accept().unwrap());
         }
-        let received = self.engine.received.clone();
-        std::thread::spawn(move || accept(&self.listener, &received, self.serve));
+        accept_in_background(self.listener, &self.engine, self.serve);
         self.engine
     }
 }
@@ -131,18 +168,18 @@
         socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
         socket.listen(16).unwrap();
         let listener = TcpListener::from(socket);
-        let engine = Engine { address: listener.local_addr().unwrap(), received: Received::default() };
-        let received = engine.received.clone();
+        let engine = Engine::new(listener.local_addr().unwrap());
+        let (received, paused) = (engine.received.clone(), engine.paused.clone());
         let (unblock, unblocked) = std::sync::mpsc::channel();
         std::thread::spawn(move || {
             let (first, _) = listener.accept().unwrap();
-            let received_first = received.clone();
+            let (received_first, paused_first) = (received.clone(), paused.clone());
             std::thread::spawn(move || {
                 if unblocked.recv() == Ok(Unblock::Read) {
-                    drop(speak_line_protocol(first, &received_first));
+                    serve_line_protocol(first, received_first, paused_first);
                 }
             });
-            accept(&listener, &received, |stream, received| drop(speak_line_protocol(stream, &received)));
+            accept(&listener, &received, &paused, serve_line_protocol);
         });
         BlockedEngine { engine, unblock }
     }
@@ -155,10 +192,10 @@
 
 /// Starts an engine with the line protocol.
 pub fn line_protocol() -> Engine {
-    start(|stream, received| drop(speak_line_protocol(stream, &received)))
+    start(serve_line_protocol)
 }
 
 /// Starts an engine with TDS.
 pub fn tds() -> Engine {
-    start(|stream, received| drop(speak_tds(stream, &received)))
+    start(serve_tds)
 }
