Line protocol: an attempt given up as silent ends once its engine has read the stop

Cause: give_up reported the end of the attempt as soon as STOP was in the output buffer, so its retry began while the engine had not read a byte of it; a cancellation has waited for that since it was written, giving up an attempt (silent, or a result too long) did not. Now both take one way: STOP, a line that is answered, and the end once that answer is here.

--- a/src/upstream/line_protocol/connection/commands.rs
+++ b/src/upstream/line_protocol/connection/commands.rs
@@ -2,7 +2,7 @@
 
 use super::in_flight::InFlight;
 use super::output::{QueuedRequest, Withdrawn};
-use super::{Connection, Stop};
+use super::{Connection, Stop, StoppingAttempt};
 use crate::clock::Micros;
 use crate::core::AttemptId;
 use crate::core::{Call, ConnectionEnd};
@@ -98,13 +98,18 @@
         let Some(request) = self.request_of(attempt) else { return };
         self.stop_request(&request);
         if confirm {
-            // Lines are read in order: an engine that responds to this one has read the stop before it.
-            let tag = self.next_tag('h');
-            self.output.push(format_args!("HELO {tag}\r\n"));
-            self.cancellations.insert(tag, attempt);
+            self.confirm_stop(attempt, ConnectionEnd::Cancelled);
         }
     }
 
+    /// Reports the end of an attempt once the engine has read its stop. Lines are read in order: an engine that
+    /// responds to one has read the stop before it.
+    pub(super) fn confirm_stop(&mut self, attempt: AttemptId, end: ConnectionEnd) {
+        let tag = self.next_tag('h');
+        self.output.push(format_args!("HELO {tag}\r\n"));
+        self.stopping.insert(tag, StoppingAttempt { attempt, end });
+    }
+
     /// Stops a request that was written.
     pub(super) fn stop_request(&mut self, request: &str) -> Option<InFlight> {
         self.output.push(format_args!("STOP {request}\r\n"));
--- a/src/upstream/line_protocol/connection/mod.rs
+++ b/src/upstream/line_protocol/connection/mod.rs
@@ -51,6 +51,13 @@
     }
 }
 
+/// An attempt that is to stop. It is in flight until the engine has read its `STOP`.
+struct StoppingAttempt {
+    attempt: AttemptId,
+    /// How it ends once that is shown.
+    end: ConnectionEnd,
+}
+
 /// The state of an open connection.
 struct Connection {
     context: EndpointContext,
@@ -58,8 +65,8 @@
     in_flight: HashMap<String, InFlight>,
     /// When each open health check was sent, by its tag.
     health_checks: HashMap<String, Micros>,
-    /// Cancelled attempts whose `STOP` the engine has not shown to have read, by the tag of the line behind it.
-    cancellations: HashMap<String, AttemptId>,
+    /// Attempts whose `STOP` the engine has not shown to have read, by the tag of the line behind it.
+    stopping: HashMap<String, StoppingAttempt>,
     tag_count: u64,
     output: Output,
     /// Attempts that never ran, of which the core has yet to be notified.
@@ -117,7 +124,7 @@
             context,
             in_flight: HashMap::new(),
             health_checks: HashMap::new(),
-            cancellations: HashMap::new(),
+            stopping: HashMap::new(),
             tag_count: 0,
             output: Output::default(),
             never_written: Vec::new(),
@@ -213,7 +220,7 @@
         self.never_written.extend(self.output.queued.drain(..).map(|queued| queued.attempt));
         self.report_never_written().await?;
         let in_flight = self.in_flight.into_values().map(|in_flight| in_flight.attempt);
-        for attempt in in_flight.chain(self.cancellations.into_values()) {
+        for attempt in in_flight.chain(self.stopping.into_values().map(|stopping| stopping.attempt)) {
             self.context.ended(attempt, end).await?;
         }
         for sent_at in self.health_checks.into_values() {
--- a/src/upstream/line_protocol/connection/responses.rs
+++ b/src/upstream/line_protocol/connection/responses.rs
@@ -1,9 +1,8 @@
 //! Interprets the engine's responses and reports them to the core.
 
 use super::in_flight::{InFlight, PageOutcome};
-use super::{Connection, Stop};
+use super::{Connection, Stop, StoppingAttempt};
 use crate::core::{AttemptEvent, ConnectionEnd, Table};
-use crate::service::ServiceEnded;
 use crate::upstream::line_protocol::parse::{self, Response, ResponseKind};
 use bytes::BytesMut;
 
@@ -38,8 +37,8 @@
             let elapsed = self.last_read - sent_at;
             return Ok(self.context.probed(end, response.fields.report, elapsed).await?);
         }
-        if let Some(attempt) = self.cancellations.remove(&response.id) {
-            return Ok(self.context.ended(attempt, ConnectionEnd::Cancelled).await?);
+        if let Some(StoppingAttempt { attempt, end }) = self.stopping.remove(&response.id) {
+            return Ok(self.context.ended(attempt, end).await?);
         }
         // A response to a request that was given up has crossed its stop.
         let Some(in_flight) = self.in_flight.get_mut(&response.id) else { return Ok(()) };
@@ -82,7 +81,8 @@
             }
             PageOutcome::OverBudget => {
                 log::warn!("a result is too long: request {} is given up there", response.id);
-                return Ok(self.give_up(&response.id, ConnectionEnd::RequestSilent).await?);
+                self.give_up(&response.id, ConnectionEnd::RequestSilent);
+                return Ok(());
             }
             PageOutcome::Kept { first: true } => {
                 let page_count = in_flight.page_count();
@@ -123,16 +123,13 @@
         Ok(self.context.news(in_flight.attempt, event).await?)
     }
 
-    /// Stops one request whose answer is of no more use; the others go on.
-    pub(super) async fn give_up(&mut self, request: &str, end: ConnectionEnd) -> Result<(), ServiceEnded> {
-        match self.stop_request(request) {
-            Some(in_flight) => {
-                let age_ms = (self.context.clock.now() - in_flight.began_at).as_ms();
-                log::debug!(request:% = in_flight.attempt, name = request, reason:? = end, age_ms; "request given up");
-                self.context.ended(in_flight.attempt, end).await
-            }
-            None => Ok(()),
-        }
+    /// Stops one request whose answer is of no more use; the others go on. Its end is reported once the engine has
+    /// read the stop.
+    pub(super) fn give_up(&mut self, request: &str, end: ConnectionEnd) {
+        let Some(in_flight) = self.stop_request(request) else { return };
+        let age_ms = (self.context.clock.now() - in_flight.began_at).as_ms();
+        log::debug!(request:% = in_flight.attempt, name = request, reason:? = end, age_ms; "request given up");
+        self.confirm_stop(in_flight.attempt, end);
     }
 }
 
--- a/src/upstream/line_protocol/connection/timeouts.rs
+++ b/src/upstream/line_protocol/connection/timeouts.rs
@@ -31,14 +31,14 @@
     fn is_busy(&self) -> bool {
         !self.in_flight.is_empty()
             || !self.health_checks.is_empty()
-            || !self.cancellations.is_empty()
+            || !self.stopping.is_empty()
             || !self.output.queued.is_empty()
     }
 
     /// Whether the engine owes a response.
     fn is_response_due(&self) -> bool {
         let reports = self.context.limits.reports_progress && !self.in_flight.is_empty();
-        reports || !self.health_checks.is_empty() || !self.cancellations.is_empty()
+        reports || !self.health_checks.is_empty() || !self.stopping.is_empty()
     }
 
     /// When the engine counts as cut off or hanging: it owes a response and sends none, or reads nothing.
@@ -59,7 +59,7 @@
             log::warn!("an engine's line does not end, its connection ends");
             return Err(Stop::Connection(ConnectionEnd::Malformed));
         }
-        self.give_up_unmentioned(now).await?;
+        self.give_up_unmentioned(now);
         if !self.is_busy() && now >= self.last_command + self.context.limits.idle_after {
             return Err(Stop::Idle);
         }
@@ -67,19 +67,18 @@
     }
 
     /// Guards against an answer, or a page, that never comes: the request may be retried before its deadline.
-    async fn give_up_unmentioned(&mut self, now: Micros) -> Result<(), Stop> {
+    fn give_up_unmentioned(&mut self, now: Micros) {
         let limits = &self.context.limits;
         if !limits.reports_progress {
-            return Ok(());
+            return;
         }
         let oldest = now - limits.silent_after;
         let unmentioned = self.in_flight.iter().filter(|(_, in_flight)| in_flight.last_mention <= oldest);
         let requests: Vec<String> = unmentioned.map(|(request, _)| request.clone()).collect();
         for request in requests {
             log::warn!("an engine says no more of request {request}: given up there");
-            self.give_up(&request, ConnectionEnd::RequestSilent).await?;
+            self.give_up(&request, ConnectionEnd::RequestSilent);
         }
-        Ok(())
     }
 
     async fn time_out_health_checks(&mut self, now: Micros) -> Result<(), Stop> {
--- a/tests/common/engines/line_protocol_session.rs
+++ b/tests/common/engines/line_protocol_session.rs
@@ -97,6 +97,8 @@
             self.trickle(id)?;
         } else if has("nap") {
             self.nap(id, statement)?;
+        } else if has("chatty") {
+            self.report_progress_until_closed(id)?;
         } else if has("slow") {
             write!(self.out, "{id} {PROGRESS}")?;
         } else if has("fail") {
@@ -135,6 +137,18 @@
         Ok(())
     }
 
+    /// Reports on a request until the connection ends; what is said of it after its stop is ignored.
+    fn report_progress_until_closed(&self, id: &str) -> std::io::Result<()> {
+        let mut out = self.out.try_clone()?;
+        let id = id.to_owned();
+        std::thread::spawn(move || {
+            while write!(out, "{id} {PROGRESS}").is_ok() {
+                std::thread::sleep(Duration::from_millis(200));
+            }
+        });
+        Ok(())
+    }
+
     /// Responds after some time, while other requests of the connection are served.
     fn nap(&self, id: &str, statement: &str) -> std::io::Result<()> {
         let mut out = self.out.try_clone()?;
--- a/tests/common/engines/mod.rs
+++ b/tests/common/engines/mod.rs
@@ -9,7 +9,8 @@
 //! - `twice`: a response to an unknown request, then the proper one twice;
 //! - `mute`, `trickle`: at the first attempt a response that never comes, or comes byte by byte;
 //! - `nap`: 0.3 s of work (`long nap`: 4 s; with `then fail` it ends in an error);
-//! - `slow`: work until it is cancelled.
+//! - `slow`: work until it is cancelled;
+//! - `chatty`: the same with frequent reports, also while the engine is paused.
 
 mod line_protocol_session;
 mod tds_session;
