An attempt on a connection that is closed here ends once the engine has dropped it

Cause, the second of the class: a connection that the program closes (silent engine, malformed response, idle) reported its attempts as ended at once, and they were retried while the engine had not read the close.

Now such an attempt is lost first (AttemptEvent::Lost: the engine's health counts it, its request learns that it gets no result) and ends when the engine has closed its side: the program shuts down its own side and reads to the end. ETIMEDOUT and the like prove nothing and were taken for a close. Where the engine does not show it within 0.5 s a repeatable request is rejected, so that its client can go elsewhere; one with a key waits, one that is not idempotent fails at once as before.

--- a/src/core/accounting.rs
+++ b/src/core/accounting.rs
@@ -1,6 +1,6 @@
 //! Gives the one final answer, and counts answers and attempts.
 
-use super::{Answer, AttemptId, Command, Core, OpenRequest};
+use super::{Answer, AttemptId, Command, Core, OpenRequest, Timer};
 use crate::clock::Micros;
 use crate::decision::Outcome;
 use crate::settings::Front;
@@ -141,8 +141,13 @@
         debug_assert_eq!(self.open_names.len(), self.requests.len(), "each open request has its name");
         if let Some(history) = self.attempt_histories.get(&request) {
             for number in 0..history.started {
-                if let Some(attempt) = self.attempts.get(&AttemptId { request, number }) {
+                let id = AttemptId { request, number };
+                if let Some(attempt) = self.attempts.get(&id) {
                     attempt.cancel_token.cancel();
+                    if attempt.ends_as.is_some() {
+                        // Nobody waits for its engine any more.
+                        self.timers.set(now, Timer::CancelUnconfirmed(id));
+                    }
                 }
             }
             if history.in_flight == 0 {
--- a/src/core/attempt_events.rs
+++ b/src/core/attempt_events.rs
@@ -15,9 +15,9 @@
         out: &mut Vec<Command>,
     ) {
         let Some(running) = self.attempts.get(&attempt) else { return };
-        let cancelled_as = running.cancelled_as;
+        let ends_as = running.ends_as;
         match event {
-            AttemptEvent::Note(_) if cancelled_as.is_some() => {}
+            AttemptEvent::Note(_) if ends_as.is_some() => {}
             AttemptEvent::Note(note) => {
                 let request = RequestId(attempt.request);
                 self.decide(now, Event::AttemptNote { request, attempt: attempt.number, note }, out);
@@ -27,8 +27,9 @@
                 self.answer(now, attempt.request, answer, out);
                 self.end_attempt(now, attempt, AttemptResult::served(usage, report), out);
             }
+            AttemptEvent::Lost { end } => self.attempt_lost(now, attempt, end.outcome(), out),
             AttemptEvent::Ended { end, report } => {
-                let outcome = cancelled_as.unwrap_or(end.outcome());
+                let outcome = ends_as.unwrap_or(end.outcome());
                 self.end_attempt(now, attempt, AttemptResult { outcome, usage: None, report }, out);
             }
         }
--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -17,9 +17,9 @@
     tenant_slot: Option<Slot>,
     sent_at: Micros,
     pub(super) cancel_token: CancelToken,
-    /// The outcome that the decision module is notified of once the engine has read the cancellation; set when the
-    /// attempt is cancelled.
-    pub(super) cancelled_as: Option<Outcome>,
+    /// The outcome that the decision module is notified of once the engine has dropped the attempt; set when the
+    /// attempt is cancelled or lost.
+    pub(super) ends_as: Option<Outcome>,
 }
 
 /// The attempts of one request so far.
@@ -127,7 +127,7 @@
             tenant_slot: open.tenant_slot,
             sent_at: now,
             cancel_token: cancel_token.clone(),
-            cancelled_as: None,
+            ends_as: None,
         };
         self.attempts.insert(attempt, running);
         let engine_is_ready = self.engines.get_mut(&engine).is_some_and(|known| {
@@ -163,15 +163,17 @@
         out: &mut Vec<Command>,
     ) {
         let Some(running) = self.attempts.get_mut(&attempt) else { return };
-        if running.cancelled_as.is_some() {
+        if running.ends_as.is_some() {
             return;
         }
-        running.cancelled_as = Some(outcome);
+        running.ends_as = Some(outcome);
         running.cancel_token.cancel();
         let confirm = self.requests.contains_key(&attempt.request);
         log::debug!(
-            request:% = attempt, engine = self.engines.get(&running.engine).map_or("?", |known| known.name.as_str()),
-            reason:? = outcome, awaits_confirmation = confirm;
+            request:% = attempt,
+            engine = self.engines.get(&running.engine).map_or("?", |known| known.name.as_str()),
+            reason:? = outcome,
+            awaits_confirmation = confirm;
             "attempt cancelled"
         );
         out.push(Command::CancelAttempt { attempt, engine: running.engine, confirm });
@@ -179,9 +181,26 @@
         self.timers.set(now + wait, Timer::CancelUnconfirmed(attempt));
     }
 
+    /// An attempt will have no result, and its engine may still execute it: the decision module learns that at once,
+    /// and of its end once the engine has dropped it, or its request is over.
+    pub(super) fn attempt_lost(
+        &mut self,
+        now: Micros,
+        attempt: AttemptId,
+        outcome: Outcome,
+        out: &mut Vec<Command>,
+    ) {
+        let Some(running) = self.attempts.get_mut(&attempt) else { return };
+        let outcome = *running.ends_as.get_or_insert(outcome);
+        running.cancel_token.cancel();
+        log::debug!(request:% = attempt, reason:? = outcome; "attempt lost");
+        let request = RequestId(attempt.request);
+        self.decide(now, Event::AttemptLost { request, attempt: attempt.number, outcome }, out);
+    }
+
     /// The engine has not confirmed a cancellation in time.
     pub(super) fn cancel_unconfirmed(&mut self, now: Micros, attempt: AttemptId, out: &mut Vec<Command>) {
-        let outcome = self.attempts.get(&attempt).and_then(|running| running.cancelled_as);
+        let outcome = self.attempts.get(&attempt).and_then(|running| running.ends_as);
         if let Some(outcome) = outcome {
             self.end_attempt(now, attempt, AttemptResult::without_report(outcome), out);
         }
--- a/src/core/types/attempt.rs
+++ b/src/core/types/attempt.rs
@@ -88,8 +88,12 @@
     NeverWritten,
     /// The engine closed the connection before it answered.
     Closed,
+    /// The manager closed the connection, for the sake of another request or because it was idle.
+    ClosedHere,
     /// The connection was reset before the engine answered.
     Reset,
+    /// The network failed under the connection, which says nothing of the engine.
+    Broken,
     /// The engine's bytes can't be parsed.
     Malformed,
     /// The engine sent nothing for too long.
@@ -114,7 +118,11 @@
                 Outcome::NoConnection
             }
             // It was written, so it was possibly executed.
-            ConnectionEnd::Closed | ConnectionEnd::Reset | ConnectionEnd::Silent => Outcome::ConnectionLost,
+            ConnectionEnd::Closed
+            | ConnectionEnd::ClosedHere
+            | ConnectionEnd::Reset
+            | ConnectionEnd::Broken
+            | ConnectionEnd::Silent => Outcome::ConnectionLost,
             // The engine reads and answers: the fault is the connection's, not the engine's.
             ConnectionEnd::Malformed | ConnectionEnd::RequestSilent => Outcome::Spoilt,
             ConnectionEnd::TimedOut => Outcome::TimedOut,
@@ -137,7 +145,13 @@
         /// The engine's load, where reported.
         report: Option<LoadReport>,
     },
-    /// It ended without a result.
+    /// It will have no result, but the engine may still execute it: its end follows once the engine has dropped it,
+    /// if that ever shows.
+    Lost {
+        /// Why.
+        end: ConnectionEnd,
+    },
+    /// It ended without a result: it never began, or the engine no longer executes it.
     Ended {
         /// How it ended.
         end: ConnectionEnd,
--- a/src/decision/attempts.rs
+++ b/src/decision/attempts.rs
@@ -103,7 +103,9 @@
         if end.outcome == Outcome::Served {
             self.learn_from_answer(&attempt, end);
         }
-        self.record_outcome(attempt.engine, end.outcome);
+        if self.lost_attempts.remove(&AttemptId { request: id, number: end.attempt }).is_none() {
+            self.record_outcome(attempt.engine, end.outcome);
+        }
         self.engine_sampler.restore(attempt.engine);
         self.pause_key(attempt.order_key, end.outcome);
         self.conclude_attempt(end);
@@ -144,7 +146,7 @@
     }
 
     /// Whether a request may be retried after an attempt with this outcome, as far as can be known now.
-    fn may_retry_after(&self, id: RequestId, outcome: Outcome) -> bool {
+    pub(super) fn may_retry_after(&self, id: RequestId, outcome: Outcome) -> bool {
         let request = &self.requests[&id];
         let attempts_left = request.attempts_sent < self.settings.limits.max_attempts;
         let time_left = self.now < request.deadline;
--- a/src/decision/gateway.rs
+++ b/src/decision/gateway.rs
@@ -39,6 +39,8 @@
     pub(super) requests: BTreeMap<RequestId, PendingRequest>,
     /// Attempts in flight, also those of requests that have had their answer.
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
+    /// Attempts in flight that will have no result, and since when that is known.
+    pub(super) lost_attempts: BTreeMap<AttemptId, Millis>,
     /// Queued requests of sensitive classes, the earliest due first.
     pub(super) sensitive_queue: BTreeSet<(QueueRank, RequestId)>,
     /// Queued requests of best-effort classes, in fair rotation among tenants.
@@ -90,6 +92,7 @@
             ordered_queues: BTreeMap::new(),
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
+            lost_attempts: BTreeMap::new(),
             engines: BTreeMap::new(),
             local_load: Load::default(),
             next_list_poll_at: 0.0,
@@ -115,6 +118,9 @@
             Event::EngineList(update) => self.on_engine_list(update),
             Event::Tenant { tenant, settings } => self.on_tenant_changed(tenant, settings),
             Event::Request(request) => self.on_request(request),
+            Event::AttemptLost { request, attempt, outcome } => {
+                self.on_attempt_lost(AttemptId { request, number: attempt }, outcome);
+            }
             Event::AttemptEnded(end) => self.on_attempt_ended(&end),
             Event::StreamStarted { request } => self.on_stream_started(request),
             Event::AttemptNote { request, attempt, note } => {
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -4,6 +4,7 @@
 //!
 //! ```text
 //!                    ┌─ Request ──────────> admission ───────────────────────> queues
+//!                    ├─ AttemptLost ──────> lost_attempts ──> outliers, or an answer
 //!                    ├─ AttemptEnded ─────> attempts ──> classes, outliers ──> queues, or an answer
 //!  Event ─> gateway ─┼─ EngineList ───────> engines ───> slow_start
 //!                    ├─ HealthChecked ────> health_checks ──> load_reports, outliers
@@ -54,6 +55,7 @@
 mod latency_budget;
 pub mod learned_state;
 mod load_reports;
+mod lost_attempts;
 mod ordered_queues;
 mod outliers;
 mod requests;
--- a/src/decision/types/events.rs
+++ b/src/decision/types/events.rs
@@ -89,6 +89,16 @@
     },
     /// A request arrived.
     Request(Request),
+    /// An attempt will have no result, but its engine may still execute it: [`Event::AttemptEnded`] follows once the
+    /// engine has dropped it, or its request is over.
+    AttemptLost {
+        /// Its request.
+        request: RequestId,
+        /// Number of the attempt.
+        attempt: u32,
+        /// How it ends.
+        outcome: Outcome,
+    },
     /// An attempt ended.
     AttemptEnded(AttemptEnd),
     /// A response has begun to stream: its request is bound to that attempt and has no deadline any more.
--- a/src/decision/upkeep.rs
+++ b/src/decision/upkeep.rs
@@ -22,6 +22,7 @@
         if self.alpha.refit_is_due(self.now) {
             self.refit();
         }
+        self.answer_stranded();
         self.shed();
         self.retries.trim(self.settings.rules.retry_budget, self.now);
     }
--- a/src/upstream/line_protocol/connection/commands.rs
+++ b/src/upstream/line_protocol/connection/commands.rs
@@ -87,7 +87,7 @@
             Withdrawn::PartlyWritten(partial) => {
                 self.remove_in_flight(&partial.request);
                 self.never_written.push(attempt);
-                return Err(Stop::Connection(ConnectionEnd::Closed));
+                return Err(Stop::Connection(ConnectionEnd::ClosedHere));
             }
             Withdrawn::Absent => self.cancel_written(attempt, confirm),
         }
--- a/src/upstream/line_protocol/connection/mod.rs
+++ b/src/upstream/line_protocol/connection/mod.rs
@@ -4,10 +4,12 @@
 //!   commands ──> commands.rs ──> output.rs ──> socket      requests and lines, written in order
 //!   core     <── responses.rs <─────────────── socket      notes, pages, answers
 //!   core     <── timeouts.rs                               silence of the engine, or about one request
+//!   core     <── closing.rs <─────────────────── socket    the end of the connection
 //! ```
 //!
 //! A request counts as possibly executed from its last byte written on; one that is not completely written never ran.
 
+mod closing;
 mod commands;
 mod in_flight;
 mod output;
@@ -28,6 +30,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
 
 /// Bytes that may wait to be written; an engine that reads none of them counts as silent.
@@ -41,6 +44,8 @@
     Connection(ConnectionEnd),
     /// It has carried nothing for the idle time.
     Idle,
+    /// The engine's task has ended, or has no more use for the connection.
+    Retired,
     /// The service has ended: nobody is left to report to.
     Service,
 }
@@ -90,22 +95,14 @@
 ) {
     let connected = connect(&context, address).await;
     let mut connection = Connection::new(context, load);
-    // Commands that were never begun fail as the connecting did, or never ran.
-    let (stop, unsent) = match connected {
-        Ok(stream) => (connection.serve(stream, &mut commands).await, ConnectionEnd::NeverWritten),
-        Err(end) => (Stop::Connection(end), end),
-    };
-    let end = match stop {
-        Stop::Service => return,
-        Stop::Idle => ConnectionEnd::Closed,
-        Stop::Connection(end) => end,
-    };
-    if !connection.in_flight.is_empty() {
-        log::warn!("engine at {address}: connection ended ({end:?}) with {} out", connection.in_flight.len());
-    }
-    commands.close();
     // An error says that the service has ended: nobody is left to report to.
-    let _ended = connection.report_end(end, unsent, commands).await;
+    let _ended = match connected {
+        Ok(stream) => connection.serve_to_the_end(stream, commands, address).await,
+        Err(end) => {
+            commands.close();
+            connection.report_unsent(end, &mut commands).await
+        }
+    };
 }
 
 async fn connect(context: &EndpointContext, address: SocketAddr) -> Result<TcpStream, ConnectionEnd> {
@@ -136,23 +133,39 @@
         }
     }
 
-    async fn serve(&mut self, stream: TcpStream, commands: &mut mpsc::Receiver<EndpointCommand>) -> Stop {
+    /// Carries out commands until the connection ends, and reports the end of all that it carried.
+    async fn serve_to_the_end(
+        &mut self,
+        stream: TcpStream,
+        mut commands: mpsc::Receiver<EndpointCommand>,
+        address: SocketAddr,
+    ) -> Result<(), ServiceEnded> {
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("no delay: {error}");
         }
-        match self.exchange(stream, commands).await {
+        let (mut reader, mut writer) = stream.into_split();
+        let end = match self.exchange(&mut reader, &mut writer, &mut commands).await {
             Ok(never) => match never {},
-            Err(stop) => stop,
+            Err(Stop::Service) => return Err(ServiceEnded),
+            Err(Stop::Idle | Stop::Retired) => ConnectionEnd::ClosedHere,
+            Err(Stop::Connection(end)) => end,
+        };
+        if !self.in_flight.is_empty() {
+            log::warn!("engine at {address}: connection ended ({end:?}) with {} out", self.in_flight.len());
         }
+        commands.close();
+        self.report_health_checks(end).await?;
+        self.report_unsent(ConnectionEnd::NeverWritten, &mut commands).await?;
+        self.report_written(end, reader, writer).await
     }
 
     /// Reads, writes and carries out commands until something ends the connection.
     async fn exchange(
         &mut self,
-        stream: TcpStream,
+        reader: &mut OwnedReadHalf,
+        writer: &mut OwnedWriteHalf,
         commands: &mut mpsc::Receiver<EndpointCommand>,
     ) -> Result<std::convert::Infallible, Stop> {
-        let (mut reader, mut writer) = stream.into_split();
         let mut received = BytesMut::with_capacity(INPUT_BYTES);
         loop {
             self.begin_requests();
@@ -165,7 +178,7 @@
                 read = reader.read_buf(&mut received) => self.bytes_read(read, &mut received).await?,
                 command = commands.recv() => match command {
                     Some(command) => self.commands(command, commands)?,
-                    None => return Err(Stop::Service),
+                    None => return Err(Stop::Retired),
                 },
                 written = writer.write_buf(&mut self.output.buffer), if !self.output.buffer.is_empty() => {
                     match written {
@@ -204,31 +217,29 @@
         Ok(())
     }
 
-    /// Reports the end of all that the connection carried: what was written is possibly executed, what was still
-    /// queued or partly written never ran.
-    async fn report_end(
-        mut self,
+    /// Reports what never ran: attempts that are still queued or partly written, and commands that were not begun.
+    async fn report_unsent(
+        &mut self,
         end: ConnectionEnd,
-        unsent: ConnectionEnd,
-        mut commands: mpsc::Receiver<EndpointCommand>,
+        commands: &mut mpsc::Receiver<EndpointCommand>,
     ) -> Result<(), ServiceEnded> {
-        let now = self.context.clock.now();
         if let Some(partial) = self.output.partial.take() {
             self.in_flight.remove(&partial.request);
             self.never_written.push(partial.attempt);
         }
         self.never_written.extend(self.output.queued.drain(..).map(|queued| queued.attempt));
         self.report_never_written().await?;
-        let in_flight = self.in_flight.into_values().map(|in_flight| in_flight.attempt);
-        for attempt in in_flight.chain(self.stopping.into_values().map(|stopping| stopping.attempt)) {
-            self.context.ended(attempt, end).await?;
+        while let Some(command) = commands.recv().await {
+            self.context.unwritten(command, end).await?;
         }
-        for sent_at in self.health_checks.into_values() {
+        Ok(())
+    }
+
+    async fn report_health_checks(&mut self, end: ConnectionEnd) -> Result<(), ServiceEnded> {
+        let now = self.context.clock.now();
+        for sent_at in std::mem::take(&mut self.health_checks).into_values() {
             self.context.probed(end, None, now - sent_at).await?;
         }
-        while let Some(command) = commands.recv().await {
-            self.context.unwritten(command, unsent).await?;
-        }
         Ok(())
     }
 
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -135,6 +135,14 @@
         self.handle.notify(Input::Attempt { attempt, event }).await
     }
 
+    /// Reports that an attempt will have no result, and that the engine may still execute it.
+    ///
+    /// # Errors
+    /// The service has ended.
+    pub async fn lost(&self, attempt: AttemptId, end: ConnectionEnd) -> Result<(), ServiceEnded> {
+        self.news(attempt, AttemptEvent::Lost { end }).await
+    }
+
     /// Reports the end of an attempt without a result.
     ///
     /// # Errors
@@ -184,6 +192,6 @@
 pub fn failed_io(error: &std::io::Error) -> ConnectionEnd {
     match error.kind() {
         std::io::ErrorKind::ConnectionReset | std::io::ErrorKind::BrokenPipe => ConnectionEnd::Reset,
-        _ => ConnectionEnd::Closed,
+        _ => ConnectionEnd::Broken,
     }
 }
