Upstream: a cancellation waits for a full queue instead of being dropped

Where the queue of an engine's task (2,048) or of a connection (1,024) was full, a cancellation was dropped: its attempt ran on, and its end came by a time-out that counted as proof. Now it waits for the queue; at most one waits for each attempt in flight. A change of priority is still dropped.

--- a/src/upstream/line_protocol/mod.rs
+++ b/src/upstream/line_protocol/mod.rs
@@ -5,7 +5,7 @@
 
 pub use parse::load_report;
 
-use super::{EndpointCommand, EndpointContext};
+use super::{EndpointCommand, EndpointContext, send_when_possible};
 use crate::core::ConnectionEnd;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -111,9 +111,7 @@
                 }
                 _ => continue,
             };
-            if connection.commands.try_send(copy).is_err() {
-                log::warn!("engine at {}: a connection takes no more orders", self.address);
-            }
+            send_when_possible(&connection.commands, copy);
         }
     }
 
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -18,6 +18,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
+use tokio::sync::mpsc;
 
 /// The longest result that is collected, in bytes.
 const MAX_RESULT_BYTES: usize = 1 << 20;
@@ -180,6 +181,17 @@
     }
 }
 
+/// Sends a command on a running attempt, at once or as soon as the queue has capacity: a cancellation that is dropped
+/// leaves its attempt running. At most one waits for each attempt in flight; a change of priority does not wait.
+pub fn send_when_possible(queue: &mpsc::Sender<EndpointCommand>, command: EndpointCommand) {
+    let Err(mpsc::error::TrySendError::Full(command)) = queue.try_send(command) else { return };
+    if matches!(command, EndpointCommand::Cancel { .. }) {
+        let queue = queue.clone();
+        // An error says that the connection has ended, and the attempt with it.
+        tokio::spawn(async move { drop(queue.send(command).await) });
+    }
+}
+
 /// How an attempt to connect failed.
 pub fn failed_connect(error: &std::io::Error) -> ConnectionEnd {
     match error.kind() {
@@ -195,3 +207,6 @@
         _ => ConnectionEnd::Broken,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -1,6 +1,9 @@
 //! The engines that are listed, or still have attempts in flight, each with its task.
 
-use super::{EndpointCommand, EndpointContext, UpstreamLimits, UpstreamProtocol, line_protocol, tds};
+use super::{
+    EndpointCommand, EndpointContext, UpstreamLimits, UpstreamProtocol, line_protocol, send_when_possible,
+    tds,
+};
 use crate::clock::{Clock, Micros};
 use crate::core::{AttemptEvent, Command, ConnectionEnd, HealthCheckResult, Input};
 use crate::decision::EngineState;
@@ -48,6 +51,10 @@
     pub fn carry_out(&mut self, command: Command) -> Option<Input> {
         let Addressed { engine, command } = self.addressed(command)?;
         let rejected = match self.engines.get(&engine) {
+            Some(task) if matches!(command, EndpointCommand::Cancel { .. }) => {
+                send_when_possible(task, command);
+                return None;
+            }
             Some(task) => task.try_send(command).err().map(mpsc::error::TrySendError::into_inner),
             None => Some(command),
         };
--- /dev/null
+++ b/src/upstream/tests.rs
@@ -0,0 +1,21 @@
+//! Commands to connections whose queues are full.
+
+use super::*;
+
+fn cancel(number: u32) -> EndpointCommand {
+    EndpointCommand::Cancel { attempt: AttemptId { request: 1, number }, confirm: true }
+}
+
+/// Guards against an attempt that runs on because its cancellation was dropped.
+#[tokio::test]
+async fn a_cancellation_waits_for_a_full_queue_and_is_not_dropped() {
+    let (queue, mut commands) = mpsc::channel(1);
+    send_when_possible(&queue, EndpointCommand::HealthCheck);
+    send_when_possible(&queue, cancel(7));
+    assert!(matches!(commands.recv().await, Some(EndpointCommand::HealthCheck)));
+    let second = commands.recv().await;
+    assert!(
+        matches!(&second, Some(EndpointCommand::Cancel { attempt, .. }) if attempt.number == 7),
+        "{second:?}"
+    );
+}
