Line protocol: a retry goes to another connection than the attempt before it

What callers saw: two attempts of one request at once. Cause: attempts of a request have the same id on the wire. An answer that the engine repeats some milliseconds late came when the retry was in flight on the same connection, was taken for its end, and a third attempt began while the second ran.

--- a/src/upstream/line_protocol/mod.rs
+++ b/src/upstream/line_protocol/mod.rs
@@ -1,12 +1,15 @@
 //! Engines that speak the platform's line protocol: connections that each carry many requests at once.
 
+mod carried_requests;
 mod connection;
 mod parse;
 
 pub use parse::load_report;
 
 use super::{EndpointCommand, EndpointContext, send_when_possible};
+use crate::clock::Micros;
 use crate::core::ConnectionEnd;
+use carried_requests::CarriedRequests;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -24,6 +27,8 @@
     commands: mpsc::Sender<EndpointCommand>,
     /// Attempts that it carries.
     load: Arc<AtomicUsize>,
+    /// A request of these names goes to another connection.
+    carried: CarriedRequests,
     /// The engine has moved to another address: what is in flight here may still end here, but nothing new is sent.
     retired: bool,
 }
@@ -33,23 +38,28 @@
         let (commands, queue) = mpsc::channel(QUEUE);
         let load = Arc::new(AtomicUsize::new(0));
         tokio::spawn(connection::run(context.clone(), address, queue, load.clone()));
-        Connection { commands, load, retired: false }
+        Connection { commands, load, carried: CarriedRequests::default(), retired: false }
     }
 
     fn load(&self) -> usize {
         self.load.load(Ordering::Relaxed)
     }
 
-    fn has_capacity(&self, max_streams: usize) -> bool {
-        !self.retired && self.load() < max_streams
+    /// Whether it may carry one more attempt, of a request with this name, or a health check.
+    fn accepts(&self, name: Option<&str>, max_streams: usize) -> bool {
+        let may_confuse = name.is_some_and(|name| self.carried.contains(name));
+        !self.retired && !may_confuse && self.load() < max_streams
     }
 
     /// Hands a command to the connection; gives it back where the connection does not accept it.
-    fn send(&self, command: EndpointCommand) -> Option<EndpointCommand> {
-        let is_attempt = matches!(command, EndpointCommand::Start { .. });
+    fn send(&mut self, now: Micros, command: EndpointCommand) -> Option<EndpointCommand> {
+        let name = request_name(&command).map(str::to_owned);
         match self.commands.try_send(command) {
             Ok(()) => {
-                self.load.fetch_add(usize::from(is_attempt), Ordering::Relaxed);
+                if let Some(name) = name {
+                    self.load.fetch_add(1, Ordering::Relaxed);
+                    self.carried.insert(now, &name);
+                }
                 None
             }
             Err(rejected) => Some(rejected.into_inner()),
@@ -57,6 +67,14 @@
     }
 }
 
+/// The name of the request that a command starts an attempt of.
+fn request_name(command: &EndpointCommand) -> Option<&str> {
+    match command {
+        EndpointCommand::Start { call, .. } => Some(&call.name),
+        _ => None,
+    }
+}
+
 /// The connections to one engine.
 struct Pool {
     context: EndpointContext,
@@ -120,13 +138,15 @@
     fn send_to_one(&mut self, command: EndpointCommand) -> Option<EndpointCommand> {
         let limits = &self.context.limits;
         let max_streams = limits.streams;
-        let is_light = |one: &Connection| one.has_capacity(max_streams) && one.load() < PREFERRED_LOAD;
+        let name = request_name(&command);
+        let is_light = |one: &Connection| one.accepts(name, max_streams) && one.load() < PREFERRED_LOAD;
         if !self.connections.iter().any(is_light) && self.connections.len() < limits.connections {
             self.connections.push(Connection::open(&self.context, self.address));
         }
-        let usable = self.connections.iter().filter(|one| one.has_capacity(max_streams));
+        let now = self.context.clock.now();
+        let usable = self.connections.iter_mut().filter(|one| one.accepts(name, max_streams));
         match usable.min_by_key(|one| one.load()) {
-            Some(connection) => connection.send(command),
+            Some(connection) => connection.send(now, command),
             None => Some(command),
         }
     }
--- a/tests/attempts_in_flight.rs
+++ b/tests/attempts_in_flight.rs
@@ -151,3 +151,16 @@
     wait_until("it is sent", || service.elsewhere() == 1);
     drop(again);
 }
+
+/// Guards against an answer that an engine repeats late, and that is taken for the answer to the retry: a third attempt
+/// began beside the second.
+#[test]
+fn a_repeated_answer_is_not_taken_for_that_of_the_retry() {
+    let engine = engines::line_protocol();
+    let program = start(&[engine.address], with_progress_reports());
+    let client = program.send("t", "lookup", TIME_BUDGET_MS, None, "SELECT stutter");
+    wait_until("it is retried", || engine.count("REQ") == 2);
+    std::thread::sleep(BEYOND_GIVE_UP);
+    assert_eq!(engine.count("REQ"), 2, "{:?}", engine.received);
+    drop(client);
+}
--- a/tests/common/engines/line_protocol_session.rs
+++ b/tests/common/engines/line_protocol_session.rs
@@ -95,13 +95,15 @@
         let first_attempt = |word: &str| has(word) && self.count(word) == 1;
         if first_attempt("mute") {
             write!(self.out, "{id} {PROGRESS}")?;
+        } else if first_attempt("stutter") {
+            self.fail_twice(id)?;
         } else if first_attempt("trickle") {
             self.trickle(id)?;
         } else if has("nap") {
             self.nap(id, statement)?;
         } else if has("chatty") {
             self.report_progress_until_closed(id)?;
-        } else if has("slow") {
+        } else if has("slow") || has("stutter") {
             write!(self.out, "{id} {PROGRESS}")?;
         } else if has("fail") {
             write!(self.out, "{id} 500 - 0\r\n\r\n")?;
@@ -170,6 +172,18 @@
         Ok(())
     }
 
+    /// Responds with an error, and repeats it later.
+    fn fail_twice(&mut self, id: &str) -> std::io::Result<()> {
+        let mut out = self.out.try_clone()?;
+        let response = format!("{id} 500 - 0\r\n\r\n");
+        out.write_all(response.as_bytes())?;
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(150));
+            out.write_all(response.as_bytes())
+        });
+        Ok(())
+    }
+
     /// A valid response, with others that nobody waits for: one of an unknown id, and the same again.
     fn respond_twice(&mut self, id: &str) -> std::io::Result<()> {
         let response = format!("{id} 200 sheets=2,toil=100,room=8 8\r\na\tb\nc\td\n\r\n");
--- a/tests/common/engines/mod.rs
+++ b/tests/common/engines/mod.rs
@@ -8,6 +8,7 @@
 //! - `garble`, `torn`: a malformed response, or an incomplete row;
 //! - `twice`: a response to an unknown request, then the proper one twice;
 //! - `mute`, `trickle`: at the first attempt a response that never comes, or comes byte by byte;
+//! - `stutter`: at the first attempt an error that comes again 0.15 s later, at others work until it is cancelled;
 //! - `nap`: 0.3 s of work (`long nap`: 4 s; with `then fail` it ends in an error);
 //! - `slow`: work until it is cancelled;
 //! - `chatty`: the same with frequent reports, also while the engine is paused.
