TDS engines: an attempt ends once its engine has read the close of its session

What callers saw: two attempts of one request at once, on engines that speak TDS. Cause, the same class: an attempt that was given up as silent, whose answer was malformed or too long, or whose attention was not acknowledged in 3 s, ended with the decision to drop its session. Now it is lost first and ends with the close, as on the line protocol: upstream/closing.rs serves both.

The emulated TDS engine can be paused for it.

--- a/src/upstream/line_protocol/connection/closing.rs
+++ b/src/upstream/closing.rs
@@ -1,14 +1,13 @@
-//! The end of a connection. What was completely written to an engine is in flight there until the engine has dropped it:
+//! The end of a connection to an engine. What was completely written to an engine is in flight there until the engine has dropped it:
 //! it does so with a connection that it closed itself, or of which it has read the close.
 
-use super::Connection;
+use super::EndpointContext;
 use crate::core::{AttemptId, ConnectionEnd};
 use crate::service::ServiceEnded;
 use bytes::BytesMut;
 use std::io::{self, ErrorKind};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 /// How long a closed connection waits for the engine's close; longer than engines hang.
 const CLOSE_CONFIRM_TIMEOUT: Duration = Duration::from_secs(30);
@@ -36,47 +35,43 @@
     }
 }
 
-impl Connection {
-    /// Reports the attempts that were completely written: they are possibly executed, and over once the engine has
-    /// dropped them.
-    pub(super) async fn report_written(
-        &mut self,
-        end: ConnectionEnd,
-        reader: OwnedReadHalf,
-        writer: OwnedWriteHalf,
-    ) -> Result<(), ServiceEnded> {
-        let written = self.take_written();
-        if written.is_empty() {
-            return Ok(());
-        }
-        let mut dropped = Dropped::from(end);
-        if dropped != Dropped::Yes {
-            for attempt in &written {
-                self.context.lost(*attempt, end).await?;
-            }
-        }
-        if dropped == Dropped::WithTheClose {
-            dropped = close(reader, writer).await;
-        }
-        if dropped != Dropped::Yes {
-            let count = written.len();
-            log::warn!(count, reason:? = end; "an engine has not shown that it dropped attempts of a connection");
-            return Ok(());
-        }
-        for attempt in written {
-            self.context.ended(attempt, end).await?;
+/// Reports attempts that were completely written to a connection that ended: they are possibly executed, and over once
+/// the engine has dropped them.
+///
+/// # Errors
+/// The service has ended.
+pub async fn report_written(
+    context: &EndpointContext,
+    written: Vec<AttemptId>,
+    end: ConnectionEnd,
+    reader: impl AsyncRead + Unpin,
+    writer: impl AsyncWrite + Unpin,
+) -> Result<(), ServiceEnded> {
+    if written.is_empty() {
+        return Ok(());
+    }
+    let mut dropped = Dropped::from(end);
+    if dropped != Dropped::Yes {
+        for attempt in &written {
+            context.lost(*attempt, end).await?;
         }
-        Ok(())
     }
-
-    fn take_written(&mut self) -> Vec<AttemptId> {
-        let in_flight = std::mem::take(&mut self.in_flight).into_values().map(|in_flight| in_flight.attempt);
-        in_flight.chain(self.stopping.take()).collect()
+    if dropped == Dropped::WithTheClose {
+        dropped = close(reader, writer).await;
+    }
+    if dropped != Dropped::Yes {
+        let count = written.len();
+        log::warn!(count, reason:? = end; "an engine has not shown that it dropped attempts of a connection");
+        return Ok(());
+    }
+    for attempt in written {
+        context.ended(attempt, end).await?;
     }
+    Ok(())
 }
 
 /// Closes a connection and waits until the engine has closed it too: it has read the close by then.
-async fn close(mut reader: OwnedReadHalf, mut writer: OwnedWriteHalf) -> Dropped {
+async fn close(mut reader: impl AsyncRead + Unpin, mut writer: impl AsyncWrite + Unpin) -> Dropped {
     if let Err(error) = writer.shutdown().await {
         return read_error(&error);
     }
@@ -84,7 +79,7 @@
     closed.unwrap_or(Dropped::Unknown)
 }
 
-async fn read_to_end(reader: &mut OwnedReadHalf) -> Dropped {
+async fn read_to_end(reader: &mut (impl AsyncRead + Unpin)) -> Dropped {
     let mut buffer = BytesMut::with_capacity(DROPPED_BYTES);
     loop {
         buffer.clear();
--- a/src/upstream/line_protocol/connection/mod.rs
+++ b/src/upstream/line_protocol/connection/mod.rs
@@ -4,12 +4,11 @@
 //!   commands ──> commands.rs ──> output.rs ──> socket      requests and lines, written in order
 //!   core     <── responses.rs <─────────────── socket      notes, pages, answers
 //!   core     <── timeouts.rs                               silence of the engine, or about one request
-//!   core     <── closing.rs <─────────────────── socket    the end of the connection
+//!   core     <── ../../closing.rs <───────────── socket    the end of the connection
 //! ```
 //!
 //! A request counts as possibly executed from its last byte written on; one that is not completely written never ran.
 
-mod closing;
 mod commands;
 mod in_flight;
 mod output;
@@ -21,6 +20,7 @@
 use crate::core::AttemptId;
 use crate::core::ConnectionEnd;
 use crate::service::ServiceEnded;
+use crate::upstream::closing::report_written;
 use crate::upstream::{EndpointCommand, EndpointContext, failed_connect, failed_io};
 use bytes::BytesMut;
 use in_flight::InFlight;
@@ -148,7 +148,8 @@
         commands.close();
         self.report_health_checks(end).await?;
         self.report_unsent(ConnectionEnd::NeverWritten, &mut commands).await?;
-        self.report_written(end, reader, writer).await
+        let written = self.take_written();
+        report_written(&self.context, written, end, reader, writer).await
     }
 
     /// Reads, writes and carries out commands until something ends the connection.
@@ -227,6 +228,11 @@
         Ok(())
     }
 
+    fn take_written(&mut self) -> Vec<AttemptId> {
+        let in_flight = std::mem::take(&mut self.in_flight).into_values().map(|in_flight| in_flight.attempt);
+        in_flight.chain(self.stopping.take()).collect()
+    }
+
     async fn report_health_checks(&mut self, end: ConnectionEnd) -> Result<(), ServiceEnded> {
         let now = self.context.clock.now();
         for sent_at in std::mem::take(&mut self.health_checks).into_values() {
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 //! or [`tds`]) opens connections, and reports notes, results and ends of attempts to the core by its
 //! [`EndpointContext`].
 
+mod closing;
 pub mod line_protocol;
 mod pool;
 pub mod tds;
--- a/src/upstream/tds/connection.rs
+++ b/src/upstream/tds/connection.rs
@@ -9,6 +9,7 @@
 use crate::service::ServiceEnded;
 use crate::tds::packet;
 use crate::tds::token::{self, Token};
+use crate::upstream::closing::report_written;
 use crate::upstream::line_protocol::load_report;
 use crate::upstream::{EndpointCommand, EndpointContext, ResultBudget};
 use std::net::SocketAddr;
@@ -34,10 +35,23 @@
 }
 
 /// How a request ended.
-struct Finish {
-    result: Result<Served, ConnectionEnd>,
-    /// Whether the session can carry another request.
-    reusable: bool,
+enum Finish {
+    /// The engine answered it, or acknowledged that it is cancelled.
+    Answered {
+        result: Result<Served, ConnectionEnd>,
+        /// Whether the session can carry another request.
+        reusable: bool,
+    },
+    /// The session can't be used any more, and the engine may still execute it.
+    Broken(ConnectionEnd),
+}
+
+/// What is left to do after an attempt.
+enum AttemptFinish {
+    /// Its end is reported. Says whether the session can carry another request.
+    SessionUsable(bool),
+    /// The session is to be closed, and the attempt is over with that.
+    Lost(ConnectionEnd),
 }
 
 /// A complete result.
@@ -46,11 +60,6 @@
     usage: Option<Usage>,
 }
 
-/// The session can't be used any more.
-fn broken(end: ConnectionEnd) -> Finish {
-    Finish { result: Err(end), reusable: false }
-}
-
 /// Carries out tasks until the session breaks or is idle for too long.
 pub(super) async fn run(setup: Setup, mut tasks: mpsc::Receiver<Task>) {
     let idle_after = setup.context.limits.idle_after.to_duration();
@@ -72,12 +81,23 @@
         };
         let reusable = match command {
             EndpointCommand::Start { attempt, call } => {
-                setup.run_attempt(&mut current, attempt, &call, &mut tasks).await
+                match setup.run_attempt(&mut current, attempt, &call, &mut tasks).await {
+                    Ok(AttemptFinish::SessionUsable(reusable)) => reusable,
+                    Ok(AttemptFinish::Lost(end)) => {
+                        tasks.close();
+                        let (reader, writer) = current.into_split();
+                        let _ended = report_written(&setup.context, vec![attempt], end, reader, writer).await;
+                        break;
+                    }
+                    Err(ServiceEnded) => return,
+                }
             }
-            EndpointCommand::HealthCheck => setup.check_health(&mut current, started_at).await,
-            _ => Ok(true),
+            EndpointCommand::HealthCheck => {
+                matches!(setup.check_health(&mut current, started_at).await, Ok(true))
+            }
+            _ => true,
         };
-        if !matches!(reusable, Ok(true)) {
+        if !reusable {
             tasks.close();
             break;
         }
@@ -97,25 +117,29 @@
         opened.unwrap_or(Err(ConnectionEnd::ConnectTimeout))
     }
 
-    /// Runs an attempt and reports its end; true where the session can carry another request.
+    /// Runs an attempt and reports its end, unless it is lost.
     async fn run_attempt(
         &self,
         session: &mut Session,
         attempt: AttemptId,
         call: &Call,
         tasks: &mut mpsc::Receiver<Task>,
-    ) -> Result<bool, ServiceEnded> {
+    ) -> Result<AttemptFinish, ServiceEnded> {
         let Some(remaining) = call.permit.remaining(self.context.clock.now()) else {
             self.context.ended(attempt, ConnectionEnd::NeverWritten).await?;
-            return Ok(true);
+            return Ok(AttemptFinish::SessionUsable(true));
         };
         let finish = Attempt::new(&self.context, attempt, call).run(session, remaining, tasks).await;
-        let event = match finish.result {
+        let (result, reusable) = match finish {
+            Finish::Answered { result, reusable } => (result, reusable),
+            Finish::Broken(end) => return Ok(AttemptFinish::Lost(end)),
+        };
+        let event = match result {
             Ok(Served { table, usage }) => AttemptEvent::Served { table, usage, report: None },
             Err(end) => AttemptEvent::Ended { end, report: None },
         };
         self.context.news(attempt, event).await?;
-        Ok(finish.reusable)
+        Ok(AttemptFinish::SessionUsable(reusable))
     }
 
     /// Asks for the load report and reports it; true where the session can carry another request.
@@ -159,7 +183,7 @@
     ) -> Finish {
         let batch = token::batch(&statement(self.call, remaining));
         if let Err(end) = session.send(packet::SQL_BATCH, &batch).await {
-            return broken(end);
+            return Finish::Broken(end);
         }
         session.last_token = self.context.clock.now();
         loop {
@@ -168,29 +192,34 @@
             let token = tokio::select! {
                 token = session.next_token() => match token {
                     Ok(token) => token,
-                    Err(end) => return broken(end),
+                    Err(end) => return Finish::Broken(end),
                 },
                 task = tasks.recv() => match task {
                     Some(Task::Cancel(cancelled)) if cancelled == self.id => {
-                        let reusable = session.cancel().await;
-                        return Finish { result: Err(ConnectionEnd::Cancelled), reusable };
+                        return match session.cancel().await {
+                            true => Finish::Answered { result: Err(ConnectionEnd::Cancelled), reusable: true },
+                            false => Finish::Broken(ConnectionEnd::Cancelled),
+                        };
                     }
                     Some(_) => continue,
-                    None => return broken(ConnectionEnd::Cancelled),
+                    None => return Finish::Broken(ConnectionEnd::Cancelled),
                 },
                 // An engine that runs a request reports on it all the time. Whether the engine itself hangs is for the
                 // health checks to find, which have connections of their own.
                 () = tokio::time::sleep_until(silent_at.into()), if limits.reports_progress => {
                     log::warn!("a TDS engine says no more of request {}: given up there", self.call.name);
-                    return broken(ConnectionEnd::RequestSilent);
+                    return Finish::Broken(ConnectionEnd::RequestSilent);
                 }
             };
             session.last_token = self.context.clock.now();
             if let Token::Done { more: false, error, .. } = token {
-                return Finish { result: self.result(error), reusable: session.is_message_complete() };
+                return Finish::Answered {
+                    result: self.result(error),
+                    reusable: session.is_message_complete(),
+                };
             }
             if let Err(end) = self.token(token).await {
-                return broken(end);
+                return Finish::Broken(end);
             }
         }
     }
--- a/src/upstream/tds/session.rs
+++ b/src/upstream/tds/session.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
 /// An engine that has not acknowledged an attention after this long counts as gone.
 const ATTENTION_TIMEOUT: Duration = Duration::from_secs(3);
@@ -71,6 +72,11 @@
         }
     }
 
+    /// The two directions of the session's stream, to close it.
+    pub(super) fn into_split(self) -> (OwnedReadHalf, OwnedWriteHalf) {
+        self.stream.into_split()
+    }
+
     /// Sends a message.
     pub(super) async fn send(&mut self, kind: u8, data: &[u8]) -> Result<(), ConnectionEnd> {
         self.message_complete = false;
--- a/tests/attempts_in_flight.rs
+++ b/tests/attempts_in_flight.rs
@@ -38,7 +38,17 @@
 
 impl Service {
     fn start(overrides: Value) -> Service {
-        let engines: Vec<Engine> = (0..3).map(|_| engines::line_protocol()).collect();
+        Service::on((0..3).map(|_| engines::line_protocol()).collect(), overrides)
+    }
+
+    /// One on engines that speak TDS.
+    fn start_on_tds() -> Service {
+        let mut overrides = with_progress_reports();
+        overrides["engines"] = json!({"wire": "tds", "user": "u"});
+        Service::on((0..3).map(|_| engines::tds()).collect(), overrides)
+    }
+
+    fn on(engines: Vec<Engine>, overrides: Value) -> Service {
         let program = start(&[engines[0].address], overrides);
         Service { program, engines }
     }
@@ -50,7 +60,7 @@
             self.program.send(&name(number), class, TIME_BUDGET_MS, None, statement)
         };
         let clients = numbered.map(send).collect();
-        wait_until("each request is on the engine", || self.engines[0].count("REQ") == statements.len());
+        wait_until("each request is on the engine", || self.engines[0].count("SELECT") == statements.len());
         clients
     }
 
@@ -66,7 +76,7 @@
 
     /// How many requests the other engines have read.
     fn elsewhere(&self) -> usize {
-        self.engines[1..].iter().map(|engine| engine.count("REQ")).sum()
+        self.engines[1..].iter().map(|engine| engine.count("SELECT")).sum()
     }
 }
 
@@ -164,3 +174,18 @@
     assert_eq!(engine.count("REQ"), 2, "{:?}", engine.received);
     drop(client);
 }
+
+/// Guards against two attempts at once on engines that speak TDS: each session carries one request, and is closed.
+#[test]
+fn a_request_given_up_on_tds_is_not_retried_before_its_engine_has_read_the_close() {
+    let service = Service::start_on_tds();
+    let clients = service.send_to_first("lookup", &["SELECT slow", "SELECT slow"]);
+    service.drain_first();
+    std::thread::sleep(BEFORE_GIVE_UP);
+    service.engines[0].pause(true);
+    std::thread::sleep(BEYOND_GIVE_UP);
+    assert_eq!(service.elsewhere(), 0, "a second attempt began, and the engine has not read the close");
+    service.engines[0].pause(false);
+    wait_until("requests are retried", || service.elsewhere() > 0);
+    drop(clients);
+}
--- a/tests/common/engines/mod.rs
+++ b/tests/common/engines/mod.rs
@@ -53,7 +53,7 @@
         Engine { address, received: Received::default(), paused: Paused::default() }
     }
 
-    /// Pauses the engine, or resumes it. Only engines of the line protocol can be paused.
+    /// Pauses the engine, or resumes it.
     pub fn pause(&self, paused: bool) {
         self.paused.store(paused, Ordering::Relaxed);
     }
@@ -90,8 +90,8 @@
     let _ended = speak_line_protocol(stream, &received, &paused);
 }
 
-fn serve_tds(stream: TcpStream, received: Received, _paused: Paused) {
-    let _ended = speak_tds(stream, &received);
+fn serve_tds(stream: TcpStream, received: Received, paused: Paused) {
+    let _ended = speak_tds(stream, &received, &paused);
 }
 
 /// An engine that does not accept connections yet: the backlog of its socket is full, so the kernel drops the first
--- a/tests/common/engines/tds_session.rs
+++ b/tests/common/engines/tds_session.rs
@@ -1,6 +1,6 @@
 //! A connection with an emulated engine of TDS.
 
-use super::Received;
+use super::{Paused, Received, wait_while_paused};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
@@ -74,9 +74,11 @@
 }
 
 /// Serves a connection until it is closed, or a statement closes it.
-pub fn speak_tds(mut stream: TcpStream, received: &Received) -> std::io::Result<()> {
+pub fn speak_tds(mut stream: TcpStream, received: &Received, paused: &Paused) -> std::io::Result<()> {
     loop {
-        let message = read_message(&mut stream)?;
+        let message = read_message(&mut stream);
+        wait_while_paused(paused);
+        let message = message?;
         match message.kind {
             0x12 => respond(&mut stream, &[1, 0, 6, 0, 1, 0xff, 2], true)?,
             0x10 => {
