Accept: only a want of descriptors or memory costs another client its connection

Any error of accept evicted a connection and paused for 20 ms, also ECONNABORTED and the errors of one connection that accept(2) passes on, where no descriptor is short: a client that was owed nothing, but whose request might have been on its way, lost its connection. Only EMFILE, ENFILE, ENOBUFS and ENOMEM evict now, and errors of one connection do not pause.

--- a/src/frontend/accept.rs
+++ b/src/frontend/accept.rs
@@ -6,9 +6,17 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
-/// The pause after a connection that could not be accepted. A value of ours.
+/// The pause after a connection that could not be accepted.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(20);
 
+/// Errors of accept(2) as Linux numbers them: the process or the system has no free descriptor, no buffer, no memory.
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
+const ENOBUFS: i32 = 105;
+const ENOMEM: i32 = 12;
+/// The connection failed before it was accepted.
+const EPROTO: i32 = 71;
+
 /// Accepts connections and serves each in a task of its own.
 ///
 /// `stop_accepting` resolves, when the listener is to close, to the number of connections in its backlog. These are
@@ -80,11 +88,39 @@
         tokio::task::yield_now().await;
     }
 
-    /// Gives a descriptor back at once: `accept` fails where none is free.
+    /// Gives a descriptor back at once where none is free. A connection that has ended already costs no other its place.
     async fn recover(&self, error: &io::Error) {
         let listener_name = self.listener_name;
+        if is_of_one_connection(error) {
+            log::debug!("a {listener_name} connection has ended before it was accepted: {error}");
+            return;
+        }
         log::error!("a {listener_name} connection can't be accepted: {error}");
-        self.slots.evict_one();
+        if is_short_of_resources(error) {
+            self.slots.evict_one();
+        }
         tokio::time::sleep(ACCEPT_ERROR_PAUSE).await;
     }
 }
+
+/// Whether `accept` reports an error of the connection that it would have returned: the next one is not affected.
+fn is_of_one_connection(error: &io::Error) -> bool {
+    let kinds = [
+        io::ErrorKind::ConnectionAborted,
+        io::ErrorKind::ConnectionReset,
+        io::ErrorKind::Interrupted,
+        io::ErrorKind::NetworkDown,
+        io::ErrorKind::NetworkUnreachable,
+        io::ErrorKind::HostUnreachable,
+        io::ErrorKind::TimedOut,
+    ];
+    kinds.contains(&error.kind()) || error.raw_os_error() == Some(EPROTO)
+}
+
+/// Whether `accept` failed for want of descriptors or memory: then it fails for each connection that waits.
+fn is_short_of_resources(error: &io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(EMFILE | ENFILE | ENOBUFS | ENOMEM))
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/frontend/accept/tests.rs
@@ -0,0 +1,36 @@
+//! Errors of accept(2): which of them cost another connection its place.
+
+use super::*;
+use rstest::rstest;
+use tokio::sync::oneshot;
+
+const ECONNABORTED: i32 = 103;
+const EINVAL: i32 = 22;
+
+/// Guards against a client that is closed because another one's connection was aborted before it was accepted.
+#[rstest]
+#[case::aborted(ECONNABORTED, false)]
+#[case::protocol_error(EPROTO, false)]
+#[case::no_resource(EINVAL, false)]
+#[case::no_descriptor(EMFILE, true)]
+#[case::no_descriptor_in_the_system(ENFILE, true)]
+#[case::no_buffer(ENOBUFS, true)]
+#[tokio::test]
+async fn a_connection_is_evicted_only_where_a_resource_is_short(#[case] errno: i32, #[case] evicted: bool) {
+    let slots = ConnectionSlots::new(4);
+    let permit = slots.acquire().expect("a free slot");
+    let (alive, ended) = oneshot::channel::<()>();
+    let task = tokio::spawn(async move {
+        std::future::pending::<()>().await;
+        drop(alive);
+    });
+    slots.set_task(permit.id(), task.abort_handle());
+    let acceptor = Acceptor {
+        listener_name: "test",
+        slots,
+        serve: |_: TcpStream, _: ConnectionPermit| std::future::ready(Ok(())),
+    };
+    acceptor.recover(&io::Error::from_raw_os_error(errno)).await;
+    let is_over = tokio::time::timeout(ACCEPT_ERROR_PAUSE, ended).await.is_ok();
+    assert_eq!(is_over, evicted);
+}
