Operations endpoint: a backlog of 1,024, so that a flood delays no health check

silent_operations_connections_delay_neither_callers_nor_clients had failed once in its limit of 1 s (KNOWN-RED): the listener's backlog of 128 overflowed in the test's flood of 300, and the system repeats a connection dropped so after 1 s. The listener has the backlog of the clients' now.

--- a/src/operations_endpoint.rs
+++ b/src/operations_endpoint.rs
@@ -12,17 +12,19 @@
 use bytes::BytesMut;
 use sanddyke_lifecycle::{Event, Phase};
 use serde_json::json;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// The longest body that is accepted; nothing in a body is used.
 const MAX_BODY_BYTES: usize = 4096;
 /// Room for a request; a longer one makes the buffer grow.
 const READ_BUFFER_BYTES: usize = 1024;
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
 /// A caller that has not read its response by then has disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two heartbeats of the service.
@@ -74,9 +76,11 @@
     endpoint: OperationsEndpoint,
     max_connections: usize,
 ) -> std::io::Result<()> {
-    let listener = TcpListener::bind(address)?;
-    listener.set_nonblocking(true)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let listener = {
+        let _entered = runtime.enter();
+        listen(address)?
+    };
     let serve = async move {
         if let Err(error) = endpoint.serve(listener, max_connections).await {
             log::error!("ops: {error}");
@@ -86,9 +90,20 @@
     Ok(())
 }
 
+/// Listens with a backlog for a flood of connections: a connection that finds it full is repeated by its system a second
+/// later, past the time within which an answer is owed.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 impl OperationsEndpoint {
     async fn serve(self, listener: TcpListener, max_connections: usize) -> std::io::Result<()> {
-        let listener = tokio::net::TcpListener::from_std(listener)?;
         let serve_connection = |stream, permit| {
             let endpoint = self.clone();
             async move { endpoint.serve_connection(stream, &permit).await }
