Execution guard, line protocol: smaller bounds on what is remembered

16,384 executions (65,536 before, about 16 MB where the platform may give 32) and 1,024 requests a connection (4,096). The bounds are far above what a manager with some tens of requests a second remembers in 120 s, or in 30 s.

--- a/src/core/execution_guard/executions.rs
+++ b/src/core/execution_guard/executions.rs
@@ -10,7 +10,7 @@
 /// Longer than clients retry a request.
 const RETENTION: Micros = Micros(120_000_000);
 /// The most executions that are remembered.
-const MAX_EXECUTIONS: usize = 65_536;
+const MAX_EXECUTIONS: usize = 16_384;
 
 /// The first attempt that a request was possibly executed by.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/upstream/line_protocol/carried_requests.rs
+++ b/src/upstream/line_protocol/carried_requests.rs
@@ -7,7 +7,7 @@
 /// An engine's late answer comes within this time of the attempt.
 const RETENTION: Micros = Micros(30_000_000);
 /// The most requests that are remembered.
-const MAX_REQUESTS: usize = 4096;
+const MAX_REQUESTS: usize = 1024;
 
 /// The requests that a connection has carried of late.
 #[derive(Debug, Default)]
