Test: each request of the_same_requests_have_the_same_outcomes has an id of its own

Traced: over HTTP it gave all requests of a class one id, and since a request of a class that is not to be executed twice counts as sent again where its id was possibly executed in the last 120 s, so POST fail was answered without being sent.

--- a/tests/service.rs
+++ b/tests/service.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tiberius::{AuthMethod, Client, Config, EncryptionLevel};
 use tokio_util::compat::{Compat, TokioAsyncWriteCompatExt};
@@ -63,6 +64,8 @@
     Unusable,
 }
 
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
 async fn query(
     program: &Program,
     frontend: Frontend,
@@ -73,7 +76,9 @@
 ) -> Outcome {
     match frontend {
         Frontend::Http => {
-            let reply = read_reply(&mut program.send(class, class, ttl, key, statement)).unwrap();
+            // Each request has an id of its own, as the protocol demands.
+            let id = NEXT_ID.fetch_add(1, Ordering::Relaxed).to_string();
+            let reply = read_reply(&mut program.send(&id, class, ttl, key, statement)).unwrap();
             match reply.status {
                 200 => Outcome::Served(serde_json::from_value(reply.json()["result"].clone()).unwrap()),
                 503 => {
