--- a/crates/testbed/src/bin/sanddyke-testbed/arguments.rs
+++ b/crates/testbed/src/bin/sanddyke-testbed/arguments.rs
@@ -49,6 +49,13 @@
         #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=600))]
         seconds: u64,
     },
+    /// Play faults between processes, clients and engines: SANDDYKE_SOAK_SEED plays one seed, SANDDYKE_SOAK_RUNS that
+    /// many from it, SANDDYKE_SOAK_SECONDS for each.
+    Soak {
+        /// The program.
+        #[arg(long, default_value = "target/release/sanddyke")]
+        program: PathBuf,
+    },
     /// Measure how long a duty is without a holder, by what befalls the one that holds it.
     Duties {
         /// The program, built with the feature `cluster`.
--- a/crates/testbed/src/bin/sanddyke-testbed/main.rs
+++ b/crates/testbed/src/bin/sanddyke-testbed/main.rs
@@ -5,6 +5,7 @@
 mod experiment;
 mod measurements;
 mod seeds;
+mod soak;
 
 use arguments::{Arguments, Command};
 use clap::Parser;
@@ -46,6 +47,7 @@
             Command::Demo { program } => demo::run(&program).await,
             Command::Simulate => Ok(seeds::simulate()),
             Command::Fleet { program, seconds } => Ok(seeds::run_fault_sequences(&program, seconds).await),
+            Command::Soak { program } => Ok(soak::run_seeds(&program).await),
             Command::Duties { program, times, lease_ms, out } => {
                 measurements::lease_gaps(&program, times as usize, lease_ms, out).await
             }
--- a/crates/testbed/src/bin/sanddyke-testbed/seeds.rs
+++ b/crates/testbed/src/bin/sanddyke-testbed/seeds.rs
@@ -21,14 +21,14 @@
 }
 
 /// The number in an environment variable.
-fn variable(name: &str) -> Option<u64> {
+pub fn variable(name: &str) -> Option<u64> {
     std::env::var(name).ok().and_then(|text| text.parse().ok())
 }
 
 /// The seeds by two environment variables: the first seed, and the number of runs from it.
 ///
 /// Where only the first seed is set, it alone is run.
-fn seeds(first_variable: &str, runs_variable: &str, default_runs: u64) -> Range<u64> {
+pub fn seeds(first_variable: &str, runs_variable: &str, default_runs: u64) -> Range<u64> {
     let first = variable(first_variable);
     let default_runs = if first.is_some() { 1 } else { default_runs };
     let first = first.unwrap_or(1);
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod operations_endpoint;
 pub mod program;
 pub mod report;
+pub mod soak;
 
 pub use error::TestbedError;
 
--- a/crates/testbed/src/name_server.rs
+++ b/crates/testbed/src/name_server.rs
@@ -5,6 +5,7 @@
 use simple_dns::rdata::{A, RData, SOA, SRV, TXT};
 use simple_dns::{CLASS, Name, Packet, PacketFlag, Question, ResourceRecord};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::net::UdpSocket;
 
@@ -46,6 +47,7 @@
     /// Address on which it answers, over UDP.
     pub address: SocketAddr,
     zone: Arc<Mutex<Zone>>,
+    is_silent: Arc<AtomicBool>,
 }
 
 impl NameServer {
@@ -59,8 +61,14 @@
         let endpoint = |address: &SocketAddr| Endpoint { address: *address, state: EndpointState::Ready };
         let zone = Zone { serial: 2, endpoints: engines.iter().map(endpoint).collect() };
         let zone = Arc::new(Mutex::new(zone));
-        tokio::spawn(serve(socket, zone.clone()));
-        Ok(NameServer { address, zone })
+        let is_silent = Arc::<AtomicBool>::default();
+        tokio::spawn(serve(socket, zone.clone(), is_silent.clone()));
+        Ok(NameServer { address, zone, is_silent })
+    }
+
+    /// Answers nothing from now on, or answers again.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::Relaxed);
     }
 
     /// Lists an engine in another state from now on.
@@ -73,9 +81,12 @@
     }
 }
 
-async fn serve(socket: UdpSocket, zone: Arc<Mutex<Zone>>) {
+async fn serve(socket: UdpSocket, zone: Arc<Mutex<Zone>>, is_silent: Arc<AtomicBool>) {
     let mut buffer = [0; MAX_QUERY_BYTES];
     while let Ok((length, from)) = socket.recv_from(&mut buffer).await {
+        if is_silent.load(Ordering::Relaxed) {
+            continue;
+        }
         let response = zone.lock().unwrap_or_else(PoisonError::into_inner).respond(&buffer[..length]);
         if let Some(response) = response {
             // A lost response is one that the resolver asks for again.
--- a/tests/rules/execution.rs
+++ b/tests/rules/execution.rs
@@ -112,3 +112,53 @@
     gateway.handle(5.0, Event::AttemptNote { request: RequestId(5), attempt: 0, note }, &mut out);
     assert!(out.is_empty(), "{out:?}");
 }
+
+fn lose_attempt(gateway: &mut Gateway, now: f64, request: u64, outcome: Outcome) -> Vec<Action> {
+    let mut out = Vec::new();
+    let event = Event::AttemptLost { request: RequestId(request), attempt: 0, outcome };
+    gateway.handle(now, event, &mut out);
+    out
+}
+
+/// Guards against a retry beside an attempt that is lost, but that its engine still executes.
+#[test]
+fn a_lost_attempt_is_retried_only_once_it_has_ended() {
+    let mut gateway = gateway(settings(ClassSettings::default()), &[engine(1), engine(2)]);
+    arrive(&mut gateway, 1.0, request(1));
+    assert!(sends(&lose_attempt(&mut gateway, 20.0, 1, Outcome::ConnectionLost)).is_empty());
+    assert_eq!(sends(&end_attempt(&mut gateway, 40.0, 1, 0, Outcome::ConnectionLost)).len(), 1);
+}
+
+/// An engine that does not drop a lost attempt must not hold a client to its deadline where that may go elsewhere.
+#[test]
+fn a_request_whose_lost_attempt_does_not_end_is_rejected_unless_it_has_a_key() {
+    let keyed = Effect::Keyed { scope: DedupScope::All, window_ms: 4000.0 };
+    for (effect, rejected) in [(Effect::Repeatable, true), (keyed, false)] {
+        let class = ClassSettings { effect, ..ClassSettings::default() };
+        let mut gateway = gateway(settings(class), &[engine(1), engine(2)]);
+        arrive(&mut gateway, 1.0, request(1));
+        lose_attempt(&mut gateway, 20.0, 1, Outcome::ConnectionLost);
+        let mut out = Vec::new();
+        gateway.handle(540.0, Event::Timer(0), &mut out);
+        let is_rejected = |action: &Action| matches!(action, Action::Reject { request: RequestId(1), .. });
+        assert_eq!(out.iter().any(is_rejected), rejected, "{effect:?}: {out:?}");
+    }
+}
+
+/// Guards against a second execution for a client that sends its request again.
+#[test]
+fn a_request_that_was_possibly_executed_before_keeps_to_its_window_and_scope() {
+    let prior = PriorExecution { at: 0.0, zone: ZoneId(0), cell: Some(CellId(1)) };
+    let again = |now: f64, effect| {
+        let class = ClassSettings { effect, ..ClassSettings::default() };
+        let elsewhere = EngineEntry { cell: Some(CellId(2)), ..engine(2) };
+        let same_cell = EngineEntry { cell: Some(CellId(1)), ..engine(1) };
+        let mut gateway = gateway(settings(class), &[same_cell, elsewhere]);
+        arrive(&mut gateway, now, Request { executed_before: Some(prior), ..request(1) })
+    };
+    let keyed = Effect::Keyed { scope: DedupScope::Cell, window_ms: 1000.0 };
+    assert_eq!(sends(&again(500.0, keyed)), [(1, 1)]);
+    assert!(again(1001.0, keyed).contains(&Action::Fail(RequestId(1))));
+    assert!(again(500.0, Effect::Once).contains(&Action::Fail(RequestId(1))));
+    assert_eq!(sends(&again(500.0, Effect::Repeatable)).len(), 1);
+}
