Lexer: reading a statement costs time in proportion to its length

Cause: for each bracket that is not closed the lexer searched the rest of the statement for a closing one, so N brackets cost N * N / 2 steps, on the one thread that serves all requests.

Change: the lexer is an iterator that reads each byte once. It looks up once where the last closing bracket is, and searches for none behind it. Block comments are counted instead of parsed by recursion, so the limit of 64 comments goes; beyond it a statement had no table group, and its parameters were not replaced. table_group stops at the first schema that has a group and stores no list of tokens.

Test: 16 times as long statements of 16 kinds may cost 64 times as much at most.

--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -12,6 +12,7 @@
 #![warn(missing_docs)]
 
 pub mod client;
+pub mod cost;
 pub mod engine;
 mod error;
 pub mod experiment;
--- a/src/sql.rs
+++ b/src/sql.rs
@@ -4,15 +4,12 @@
 
 use winnow::Parser;
 use winnow::ascii::digit1;
-use winnow::combinator::{alt, delimited, eof, not, opt, peek, preceded, repeat, separated_pair, terminated};
+use winnow::combinator::{alt, delimited, eof, opt, peek, repeat, separated_pair, terminated};
 use winnow::error::{ContextError, ErrMode};
-use winnow::token::{any, one_of, take_till, take_until, take_while};
+use winnow::token::{one_of, take_till, take_until, take_while};
 
 type ParseResult<T> = Result<T, ErrMode<ContextError>>;
 
-/// The maximum number of block comments in a statement that is split into tokens. Each nested comment adds a level of
-/// recursion.
-const MAX_COMMENTS: usize = 64;
 /// The schema of intermediate tables, which belong to no table group.
 const STAGING_SCHEMA: &str = "staging";
 
@@ -40,46 +37,121 @@
     }
 }
 
-/// Parses text between two quotation marks `mark`. Within the text, a doubled mark stands for a single one.
-fn quoted<'a>(mark: char) -> impl FnMut(&mut &'a str) -> ParseResult<&'a str> {
-    move |input: &mut &'a str| {
-        // Text without a closing mark extends to the end of the statement.
-        let part = alt((take_while(1.., move |c| c != mark).void(), (mark, mark).void()));
-        let inner = repeat::<_, _, (), _, _>(0.., part).take();
-        preceded(mark, terminated(inner, alt((mark.void(), eof.void())))).parse_next(input)
-    }
+fn is_name_char(c: char) -> bool {
+    c.is_alphanumeric() || c == '_' || c == '$'
 }
 
-fn block_comment<'a>(input: &mut &'a str) -> ParseResult<&'a str> {
-    let part = alt((block_comment.void(), (not("*/"), any).void()));
-    ("/*", repeat::<_, _, (), _, _>(0.., part), alt(("*/".void(), eof.void()))).take().parse_next(input)
+/// The tokens of a statement, in order. Iteration reads each byte once, so its cost is proportional to the length of
+/// the statement, whatever the statement contains.
+#[derive(Debug, Clone)]
+pub struct Tokens<'a> {
+    /// The part of the statement that has not been read.
+    rest: &'a str,
+    /// The length of `rest` at the last closing bracket of the statement; `None` if there is no such bracket. Brackets
+    /// that are opened after it have no end, for which each of them would otherwise search the whole rest.
+    rest_at_last_bracket: Option<usize>,
 }
 
-fn is_name_char(c: char) -> bool {
-    c.is_alphanumeric() || c == '_' || c == '$'
+/// Splits a statement into tokens.
+pub fn tokens(statement: &str) -> Tokens<'_> {
+    let rest_at_last_bracket = statement.rfind(']').map(|position| statement.len() - position);
+    Tokens { rest: statement, rest_at_last_bracket }
 }
 
-fn token<'a>(input: &mut &'a str) -> ParseResult<Token<'a>> {
-    alt((
-        quoted('\'').take().map(Token::StringOrComment),
-        ("--", take_till(0.., '\n')).take().map(Token::StringOrComment),
-        block_comment.map(Token::StringOrComment),
-        quoted('"').map(Token::Name),
-        delimited('[', take_until(0.., "]"), ']').map(Token::Name),
-        ('@', take_while(1.., is_name_char)).take().map(Token::Parameter),
-        take_while(1.., is_name_char).map(Token::Name),
-        any.take().map(Token::Other),
-    ))
-    .parse_next(input)
+impl<'a> Tokens<'a> {
+    /// Removes and returns the first bytes of the rest.
+    fn take(&mut self, bytes: usize) -> &'a str {
+        let (taken, rest) = self.rest.split_at(bytes);
+        self.rest = rest;
+        taken
+    }
+
+    /// Reads text between two quotation marks. Within the text, a doubled mark stands for a single one. Text without a
+    /// closing mark extends to the end of the statement.
+    fn quoted(&mut self, mark: char) -> Quoted<'a> {
+        let mut end = mark.len_utf8();
+        while let Some(position) = self.rest[end..].find(mark) {
+            let after_mark = end + position + mark.len_utf8();
+            if !self.rest[after_mark..].starts_with(mark) {
+                let text = self.take(after_mark);
+                return Quoted { text, inner: &text[mark.len_utf8()..end + position] };
+            }
+            end = after_mark + mark.len_utf8();
+        }
+        let text = self.take(self.rest.len());
+        Quoted { text, inner: &text[mark.len_utf8()..] }
+    }
+
+    /// Reads a block comment. Block comments may be nested. One without an end extends to the end of the statement.
+    fn block_comment(&mut self) -> &'a str {
+        let mut depth = 0_usize;
+        let mut end = 0;
+        while let Some(position) = self.rest[end..].find(['/', '*']) {
+            end += position;
+            match self.rest.as_bytes().get(end..end + 2) {
+                Some(b"/*") => depth += 1,
+                Some(b"*/") => depth -= 1,
+                _ => {
+                    end += 1;
+                    continue;
+                }
+            }
+            end += 2;
+            if depth == 0 {
+                return self.take(end);
+            }
+        }
+        self.take(self.rest.len())
+    }
+
+    /// Reads a name in brackets; `None` if the bracket is not closed.
+    fn bracketed(&mut self) -> Option<&'a str> {
+        if self.rest_at_last_bracket.is_none_or(|rest| self.rest.len() <= rest) {
+            return None;
+        }
+        let end = self.rest.find(']')?;
+        let text = self.take(end + 1);
+        Some(&text[1..end])
+    }
+
+    /// Reads name characters after the first `prefix` bytes of the rest.
+    fn name(&mut self, prefix: usize) -> &'a str {
+        let length = self.rest[prefix..].find(|c| !is_name_char(c));
+        self.take(length.map_or(self.rest.len(), |length| prefix + length))
+    }
+}
+
+/// Text in quotation marks.
+struct Quoted<'a> {
+    /// The text with its marks.
+    text: &'a str,
+    /// The text between the marks.
+    inner: &'a str,
 }
 
-/// Splits a statement into tokens. A statement with too many block comments is returned as a single
-/// [`Token::StringOrComment`].
-pub fn tokens(statement: &str) -> Vec<Token<'_>> {
-    if statement.matches("/*").count() > MAX_COMMENTS {
-        return vec![Token::StringOrComment(statement)];
+impl<'a> Iterator for Tokens<'a> {
+    type Item = Token<'a>;
+
+    fn next(&mut self) -> Option<Token<'a>> {
+        let mut characters = self.rest.chars();
+        let (first, second) = (characters.next()?, characters.next());
+        Some(match (first, second) {
+            ('\'', _) => Token::StringOrComment(self.quoted('\'').text),
+            ('"', _) => Token::Name(self.quoted('"').inner),
+            ('-', Some('-')) => {
+                let length = self.rest.find('\n').unwrap_or(self.rest.len());
+                Token::StringOrComment(self.take(length))
+            }
+            ('/', Some('*')) => Token::StringOrComment(self.block_comment()),
+            ('[', _) => match self.bracketed() {
+                Some(name) => Token::Name(name),
+                None => Token::Other(self.take(first.len_utf8())),
+            },
+            ('@', Some(c)) if is_name_char(c) => Token::Parameter(self.name(first.len_utf8())),
+            _ if is_name_char(first) => Token::Name(self.name(0)),
+            _ => Token::Other(self.take(first.len_utf8())),
+        })
     }
-    repeat(0.., token).parse(statement).unwrap_or_default()
 }
 
 /// Returns the number after the last underscore of a schema's name; `None` if the name does not end in one.
@@ -94,14 +166,18 @@
 /// Returns the table group of a statement: the number at the end of the first schema name that has one. For
 /// `sales_17.orders`, this is 17.
 pub fn table_group(statement: &str) -> Option<u64> {
-    let tokens = tokens(statement);
-    let significant: Vec<&Token> = tokens.iter().filter(|token| token.is_significant()).collect();
-    significant.windows(2).find_map(|pair| match pair {
-        [Token::Name(schema), Token::Other(".")] if !schema.eq_ignore_ascii_case(STAGING_SCHEMA) => {
-            group_number(schema)
-        }
-        _ => None,
-    })
+    let mut schema = None;
+    for token in tokens(statement).filter(Token::is_significant) {
+        schema = match (schema, token) {
+            (Some(schema), Token::Other(".")) => match group_number(schema) {
+                None => None,
+                group => return group,
+            },
+            (_, Token::Name(name)) if !name.eq_ignore_ascii_case(STAGING_SCHEMA) => Some(name),
+            _ => None,
+        };
+    }
+    None
 }
 
 /// A hint to the service, `name=value`.
--- a/src/sql/tests.rs
+++ b/src/sql/tests.rs
@@ -32,3 +32,68 @@
     let bindings = [Binding { parameter: "@a".to_owned(), literal: "N'x'".to_owned() }];
     assert_eq!(bind("SELECT @a, '@a' /*@a*/ , @ab", &bindings), "SELECT N'x', '@a' /*@a*/ , @ab");
 }
+
+/// Ratio of the lengths that the tests of costs compare.
+const LENGTH_RATIO: usize = 16;
+/// Upper limit of the ratio of the costs. A cost that grows with the square of the length has a ratio of 256.
+const MAX_COST_RATIO: f64 = 4.0 * LENGTH_RATIO as f64;
+
+/// Returns the cost of lexing `unit` repeated `LENGTH_RATIO` times as often, as a multiple of its cost.
+fn lexing_cost_ratio(unit: &str) -> f64 {
+    let short = unit.repeat(4_000 / unit.len());
+    let long = short.repeat(LENGTH_RATIO);
+    let lex = |statement: &str| {
+        std::hint::black_box(table_group(std::hint::black_box(statement)));
+    };
+    sanddyke_testbed::cost::cost_ratio(|| lex(&short), || lex(&long))
+}
+
+/// Guards against a statement whose lexing takes seconds, in which the service answers nobody. Each open bracket
+/// without an end was searched for an end up to the end of the statement.
+#[test]
+fn the_cost_of_lexing_grows_in_proportion_to_the_length() {
+    for unit in
+        ["[", "[a] [", "'", "\"", "''a", "/*", "*/", "/*/", "--", "-", "@", "@a", "a.", "a_1", ".", "é"]
+    {
+        let ratio = lexing_cost_ratio(unit);
+        assert!(ratio < MAX_COST_RATIO, "{unit:?}: {ratio}");
+    }
+}
+
+/// Guards against a statement whose table group is unknown and whose parameters are not replaced because it has many
+/// comments.
+#[test]
+fn a_statement_with_many_comments_is_split_into_tokens() {
+    let comments = "/**/".repeat(100);
+    assert_eq!(table_group(&format!("{comments} SELECT x FROM sales_4.t")), Some(4));
+    let nested = format!("{}{}", "/*".repeat(100_000), "*/".repeat(100_000));
+    assert_eq!(table_group(&format!("{nested} SELECT x FROM sales_5.t")), Some(5));
+}
+
+#[test]
+fn text_without_an_end_extends_to_the_end_of_the_statement() {
+    let expected = [
+        ("a '", vec![Token::Name("a"), Token::Other(" "), Token::StringOrComment("'")]),
+        ("'a''", vec![Token::StringOrComment("'a''")]),
+        ("\"a\"\"b\".", vec![Token::Name("a\"\"b"), Token::Other(".")]),
+        ("\"a", vec![Token::Name("a")]),
+        ("/* /* */ a", vec![Token::StringOrComment("/* /* */ a")]),
+        ("/*/a*/b", vec![Token::StringOrComment("/*/a*/"), Token::Name("b")]),
+        ("[a][", vec![Token::Name("a"), Token::Other("[")]),
+        ("[[a]b]", vec![Token::Name("[a"), Token::Name("b"), Token::Other("]")]),
+        (
+            "-é@é@-",
+            vec![
+                Token::Other("-"),
+                Token::Name("é"),
+                Token::Parameter("@é"),
+                Token::Other("@"),
+                Token::Other("-"),
+            ],
+        ),
+    ];
+    for (statement, expected) in expected {
+        let found: Vec<Token> = tokens(statement).collect();
+        assert_eq!(found, expected, "{statement}");
+    }
+}
