TDS calls: a statement whose parameters make it too long is rejected

A call of sp_executesql of 110 KB, with 10,000 places for one parameter of 10,000 characters, became a statement of 100 MB (seen: 100,010,000 bytes; the limit of 256 KB was applied afterwards), and some hundred kilobytes could become gigabytes: the memory of the whole service for one client's bytes. Each place was also compared with each of up to 256 parameters.

Change: sql::bind takes the maximum length and stops there; read_rpc passes the service's MAX_STATEMENT_BYTES, and the client gets an error that says so. The literal of a parameter is looked up in a table.

--- a/benches/sql.rs
+++ b/benches/sql.rs
@@ -3,6 +3,7 @@
 //! `cargo bench --bench sql` prints each figure.
 
 use criterion::{Criterion, Throughput, criterion_group, criterion_main};
+use sanddyke::core::MAX_STATEMENT_BYTES;
 use sanddyke::sql::{self, Binding};
 use std::hint::black_box;
 use std::time::Duration;
@@ -42,7 +43,7 @@
     let mut group = criterion.benchmark_group("bind");
     group.measurement_time(Duration::from_secs(1)).warm_up_time(Duration::from_millis(200));
     group.bench_function("two parameters, 20 times each", |bencher| {
-        bencher.iter(|| sql::bind(black_box(&statement), black_box(&bindings)));
+        bencher.iter(|| sql::bind(black_box(&statement), black_box(&bindings), MAX_STATEMENT_BYTES));
     });
     group.finish();
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -30,7 +30,7 @@
 pub use execution_guard::SendPermit;
 pub use learned_state::HandoverState;
 pub use types::*;
-pub use validation::Invalid;
+pub use validation::{Invalid, MAX_STATEMENT_BYTES};
 
 use crate::clock::Micros;
 use crate::decision::{Action, Event, Scheduler};
--- a/src/sql.rs
+++ b/src/sql.rs
@@ -2,6 +2,8 @@
 //!
 //! A lexer separates strings and comments from names. SQL is not parsed.
 
+use std::collections::HashMap;
+use thiserror::Error;
 use winnow::Parser;
 use winnow::ascii::digit1;
 use winnow::combinator::{alt, delimited, eof, opt, peek, repeat, separated_pair, terminated};
@@ -224,22 +226,57 @@
     pub literal: String,
 }
 
+/// A statement is too long once its parameters are replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the statement exceeds {max_bytes} bytes once its parameters are replaced")]
+pub struct BoundStatementTooLong {
+    /// The maximum length.
+    pub max_bytes: usize,
+}
+
 /// Replaces parameters by their literals, except in strings and comments. Parameters without a binding are unchanged.
-pub fn bind(statement: &str, bindings: &[Binding]) -> String {
-    let mut text = String::with_capacity(statement.len());
+///
+/// # Errors
+///
+/// The result would exceed `max_bytes`. A short statement can have many parameters, each with a long literal.
+pub fn bind(
+    statement: &str,
+    bindings: &[Binding],
+    max_bytes: usize,
+) -> Result<String, BoundStatementTooLong> {
+    let mut literals: HashMap<String, &str> = HashMap::with_capacity(bindings.len());
+    for Binding { parameter, literal } in bindings {
+        literals.entry(parameter.to_ascii_lowercase()).or_insert(literal);
+    }
+    let mut bound = BoundStatement { text: String::with_capacity(statement.len().min(max_bytes)), max_bytes };
     let mut copied = 0;
     for token in tokens(statement) {
         let Token::Parameter(name) = token else { continue };
-        let binding = bindings.iter().find(|binding| binding.parameter.eq_ignore_ascii_case(name));
-        let Some(binding) = binding else { continue };
+        let Some(literal) = literals.get(&name.to_ascii_lowercase()) else { continue };
         // `name` is a slice of `statement`, so the difference of their addresses is its position.
         let start = name.as_ptr() as usize - statement.as_ptr() as usize;
-        text.push_str(&statement[copied..start]);
-        text.push_str(&binding.literal);
+        bound.push(&statement[copied..start])?;
+        bound.push(literal)?;
         copied = start + name.len();
     }
-    text.push_str(&statement[copied..]);
-    text
+    bound.push(&statement[copied..])?;
+    Ok(bound.text)
+}
+
+/// The part of a statement whose parameters are replaced.
+struct BoundStatement {
+    text: String,
+    max_bytes: usize,
+}
+
+impl BoundStatement {
+    fn push(&mut self, part: &str) -> Result<(), BoundStatementTooLong> {
+        if self.text.len() + part.len() > self.max_bytes {
+            return Err(BoundStatementTooLong { max_bytes: self.max_bytes });
+        }
+        self.text.push_str(part);
+        Ok(())
+    }
 }
 
 #[cfg(test)]
--- a/src/tds/mod.rs
+++ b/src/tds/mod.rs
@@ -8,6 +8,7 @@
 pub mod token;
 pub mod value;
 
+use crate::sql::BoundStatementTooLong;
 use thiserror::Error;
 use winnow::error::ContextError;
 
@@ -29,6 +30,9 @@
     /// A message of this type is malformed. The text is sent to the client.
     #[error("a {0} can't be read")]
     Message(&'static str),
+    /// The parameters of a call make its statement too long. The text is sent to the client.
+    #[error("{0}")]
+    Statement(#[from] BoundStatementTooLong),
 }
 
 /// Encodes text as UTF-16, little endian, which TDS uses for names, statements and messages.
--- a/src/tds/token/request.rs
+++ b/src/tds/token/request.rs
@@ -1,6 +1,7 @@
 //! Reads and writes the data of SQL batches, and reads that of RPC calls.
 
 use super::response_reader::parse_b_varchar;
+use crate::core::MAX_STATEMENT_BYTES;
 use crate::sql::{self, Binding};
 use crate::tds::value::{self, Value};
 use crate::tds::{ParseResult, TdsError, from_utf16, utf16};
@@ -72,7 +73,14 @@
     }
 }
 
-fn parse_rpc(input: &mut &[u8]) -> ParseResult<String> {
+/// A call of `sp_executesql`.
+struct ExecuteSql {
+    statement: String,
+    /// The values of the statement's parameters.
+    bindings: Vec<Binding>,
+}
+
+fn parse_rpc(input: &mut &[u8]) -> ParseResult<ExecuteSql> {
     skip_headers(input)?;
     let is_executesql = parse_is_executesql(input)?;
     let _flags = le_u16.parse_next(input)?;
@@ -85,8 +93,8 @@
     let mut parameters = parameters.into_iter();
     let statement = parameters.next().and_then(|parameter| parameter.value.into_text());
     let statement = statement.ok_or_else(ContextError::new)?;
-    let bindings: Vec<Binding> = parameters.skip(1).map(Parameter::into_binding).collect();
-    Ok(sql::bind(&statement, &bindings))
+    let bindings = parameters.skip(1).map(Parameter::into_binding).collect();
+    Ok(ExecuteSql { statement, bindings })
 }
 
 /// Reads an RPC call of `sp_executesql` (MS-TDS 2.2.6.6). Returns its statement, in which literals replace the
@@ -94,9 +102,11 @@
 ///
 /// # Errors
 ///
-/// The call is malformed, has a value of an unsupported type, or calls another procedure.
+/// The call is malformed, has a value of an unsupported type, or calls another procedure. Or the statement would exceed
+/// [`MAX_STATEMENT_BYTES`] with its parameters replaced.
 pub fn read_rpc(data: &[u8]) -> Result<String, TdsError> {
-    parse_rpc(&mut &data[..]).map_err(|_| TdsError::Message("call of sp_executesql"))
+    let call = parse_rpc(&mut &data[..]).map_err(|_| TdsError::Message("call of sp_executesql"))?;
+    Ok(sql::bind(&call.statement, &call.bindings, MAX_STATEMENT_BYTES)?)
 }
 
 /// Encodes a SQL batch with the mandatory headers.
