HTTP: a request in small pieces costs the same as a request in one

With each piece of a request that arrived, its head was searched for its end from the first byte and, while the body was incomplete, parsed again. A request of 16 KB head and 64 KB body in pieces of one byte cost up to 64,000 times the parse of its head, on the one thread that serves all; the operations endpoint and the administration API, before the caller's token is checked, read requests in the same way.

Change: RequestParser goes on where it stopped: it searches only what has arrived since, and keeps the parsed head until the body is complete.

--- a/src/frontend/http/message/mod.rs
+++ b/src/frontend/http/message/mod.rs
@@ -3,7 +3,7 @@
 mod request;
 mod response;
 
-pub use request::{Head, MAX_BODY_BYTES, Request, RequestError, parse_integer, read_head};
+pub use request::{MAX_BODY_BYTES, Request, RequestError, RequestParser, parse_integer};
 pub use response::Response;
 
 #[cfg(test)]
--- a/src/frontend/http/message/request.rs
+++ b/src/frontend/http/message/request.rs
@@ -83,25 +83,93 @@
     }
 }
 
-/// The head of a request. The body may still be incomplete.
+/// Parses one request from a receive buffer to which bytes are appended between the calls. Each byte is examined once,
+/// so the cost does not depend on the number of parts in which a request arrives.
 #[derive(Debug)]
-pub struct Head {
+pub struct RequestParser {
+    max_body_bytes: usize,
+    /// The length of the part of the buffer that has been searched for the end of the head.
+    searched_bytes: usize,
+    /// The parsed head, while the body is incomplete.
+    head: Option<Head>,
+}
+
+/// The parsed head of a request.
+#[derive(Debug)]
+struct Head {
     request: Request,
     head_bytes: usize,
     body_bytes: usize,
-    /// Whether the client waits for `100 Continue` before it sends the body.
-    pub expects_continue: bool,
+    expects_continue: bool,
 }
 
-impl Head {
-    /// Removes the request from the front of the receive buffer; `None` if its body is incomplete.
-    pub fn take(self, buffer: &mut BytesMut) -> Option<Request> {
-        if buffer.len() < self.head_bytes + self.body_bytes {
-            return None;
+impl RequestParser {
+    /// Creates a parser of a request whose body may have at most `max_body_bytes`.
+    pub fn new(max_body_bytes: usize) -> RequestParser {
+        RequestParser { max_body_bytes, searched_bytes: 0, head: None }
+    }
+
+    /// Removes the request from the front of the receive buffer; `None` if it is incomplete. Between two calls, bytes
+    /// may only be appended to the buffer.
+    ///
+    /// # Errors
+    ///
+    /// The request is malformed, its head or body is too long, or its body has a transfer coding.
+    pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Request>, RequestError> {
+        if self.head.is_none() {
+            self.head = self.parse_head(buffer)?;
+        }
+        let is_complete = |head: &mut Head| buffer.len() >= head.head_bytes + head.body_bytes;
+        let Some(head) = self.head.take_if(is_complete) else { return Ok(None) };
+        self.searched_bytes = 0;
+        buffer.advance(head.head_bytes);
+        let body = buffer.split_to(head.body_bytes).freeze();
+        Ok(Some(Request { body, ..head.request }))
+    }
+
+    /// Whether the client waits for `100 Continue` before it sends the body.
+    pub fn expects_continue(&self) -> bool {
+        self.head.as_ref().is_some_and(|head| head.expects_continue)
+    }
+
+    /// Parses the head at the front of the receive buffer; `None` if it is incomplete.
+    fn parse_head(&mut self, buffer: &mut BytesMut) -> Result<Option<Head>, RequestError> {
+        // Empty lines before a request are ignored (RFC 9112, section 2.2).
+        while buffer.starts_with(LINE_END) {
+            buffer.advance(LINE_END.len());
+            self.searched_bytes = 0;
+        }
+        let Some(head_bytes) = self.head_length(buffer)? else { return Ok(None) };
+        let text = std::str::from_utf8(&buffer[..head_bytes]).map_err(|_| RequestError::Malformed)?;
+        let parsed = parse_head.parse(text).map_err(|_| RequestError::Malformed)?;
+        let mut request = Request {
+            method: parsed.method,
+            target: parsed.target,
+            fields: parsed.fields,
+            body: Bytes::new(),
+            close: false,
+        };
+        let body_bytes = body_length(&request)?;
+        if body_bytes > self.max_body_bytes {
+            return Err(RequestError::BodyTooLong);
+        }
+        let keeps_alive = !parsed.is_http_1_0 || request.field_is("Connection", "keep-alive");
+        request.close = request.field_is("Connection", "close") || !keeps_alive;
+        let expects_continue = request.field_is("Expect", "100-continue");
+        Ok(Some(Head { request, head_bytes, body_bytes, expects_continue }))
+    }
+
+    /// Returns the length of the head; `None` if its end has not been received.
+    fn head_length(&mut self, buffer: &[u8]) -> Result<Option<usize>, RequestError> {
+        // The end of the head may have begun in the part that was searched before.
+        let start = self.searched_bytes.saturating_sub(HEAD_END.len() - 1);
+        let end = buffer[start..].windows(HEAD_END.len()).position(|window| window == HEAD_END);
+        self.searched_bytes = buffer.len();
+        match end.map(|position| start + position + HEAD_END.len()) {
+            Some(length) if length <= MAX_HEAD_BYTES => Ok(Some(length)),
+            None if buffer.len() <= MAX_HEAD_BYTES => Ok(None),
+            _ => Err(RequestError::HeadTooLong),
         }
-        buffer.advance(self.head_bytes);
-        let body = buffer.split_to(self.body_bytes).freeze();
-        Some(Request { body, ..self.request })
     }
 }
 
@@ -143,46 +211,6 @@
     })
 }
 
-/// Parses the head of the next request in the receive buffer; `None` if the head is incomplete.
-///
-/// # Errors
-///
-/// The request is malformed, its head or body is too long, or its body has a transfer coding.
-pub fn read_head(buffer: &mut BytesMut, max_body_bytes: usize) -> Result<Option<Head>, RequestError> {
-    // Empty lines before a request are ignored (RFC 9112, section 2.2).
-    while buffer.starts_with(LINE_END) {
-        buffer.advance(LINE_END.len());
-    }
-    let Some(head_bytes) = head_length(buffer)? else { return Ok(None) };
-    let text = std::str::from_utf8(&buffer[..head_bytes]).map_err(|_| RequestError::Malformed)?;
-    let parsed = parse_head.parse(text).map_err(|_| RequestError::Malformed)?;
-    let mut request = Request {
-        method: parsed.method,
-        target: parsed.target,
-        fields: parsed.fields,
-        body: Bytes::new(),
-        close: false,
-    };
-    let body_bytes = body_length(&request)?;
-    if body_bytes > max_body_bytes {
-        return Err(RequestError::BodyTooLong);
-    }
-    let keeps_alive = !parsed.is_http_1_0 || request.field_is("Connection", "keep-alive");
-    request.close = request.field_is("Connection", "close") || !keeps_alive;
-    let expects_continue = request.field_is("Expect", "100-continue");
-    Ok(Some(Head { request, head_bytes, body_bytes, expects_continue }))
-}
-
-/// Returns the length of the head; `None` if its end has not been received.
-fn head_length(buffer: &[u8]) -> Result<Option<usize>, RequestError> {
-    let end = buffer.windows(HEAD_END.len()).position(|window| window == HEAD_END);
-    match end.map(|start| start + HEAD_END.len()) {
-        Some(length) if length <= MAX_HEAD_BYTES => Ok(Some(length)),
-        None if buffer.len() <= MAX_HEAD_BYTES => Ok(None),
-        _ => Err(RequestError::HeadTooLong),
-    }
-}
-
 /// Returns the length of the body from `Content-Length`, or 0 without that field.
 ///
 /// Two lengths, or a transfer coding, are rejected. A proxy and this program could otherwise disagree on where the next
--- a/src/frontend/http/message/tests.rs
+++ b/src/frontend/http/message/tests.rs
@@ -1,18 +1,18 @@
 //! Tests of how HTTP requests are parsed.
 
-use super::{MAX_BODY_BYTES, read_head};
+use super::{MAX_BODY_BYTES, RequestParser};
 use bytes::BytesMut;
+use sanddyke_testbed::cost::cost_ratio;
 
 #[test]
 fn a_request_split_at_any_byte_is_parsed() {
     let sent = b"POST /do/report HTTP/1.1\r\nX-Txn: 9b\r\nContent-Length: 3\r\n\r\nabc";
     for cut in 0..sent.len() {
         let mut buffer = BytesMut::from(&sent[..cut]);
-        if let Some(head) = read_head(&mut buffer, MAX_BODY_BYTES).unwrap() {
-            assert!(head.take(&mut buffer).is_none(), "cut at {cut}");
-        }
+        let mut parser = RequestParser::new(MAX_BODY_BYTES);
+        assert!(parser.next(&mut buffer).unwrap().is_none(), "cut at {cut}");
         buffer.extend_from_slice(&sent[cut..]);
-        let request = read_head(&mut buffer, MAX_BODY_BYTES).unwrap().unwrap().take(&mut buffer).unwrap();
+        let request = parser.next(&mut buffer).unwrap().unwrap();
         assert_eq!((request.field("x-txn"), &request.body[..]), (Some("9b"), &b"abc"[..]));
     }
 }
@@ -28,10 +28,44 @@
         ("nonsense\r\n\r\n", 400),
     ];
     for (text, status) in bad {
-        assert_eq!(
-            read_head(&mut BytesMut::from(text), MAX_BODY_BYTES).unwrap_err().status(),
-            status,
-            "{text}"
-        );
+        let parsed = RequestParser::new(MAX_BODY_BYTES).next(&mut BytesMut::from(text));
+        assert_eq!(parsed.unwrap_err().status(), status, "{text}");
     }
 }
+
+/// Parses a request of which each byte arrives by itself.
+fn parse_bytewise(sent: &[u8]) {
+    let mut parser = RequestParser::new(MAX_BODY_BYTES);
+    let mut buffer = BytesMut::new();
+    let (last, others) = sent.split_last().unwrap();
+    for byte in others {
+        buffer.extend_from_slice(&[*byte]);
+        assert!(parser.next(&mut buffer).unwrap().is_none());
+    }
+    buffer.extend_from_slice(&[*last]);
+    assert!(parser.next(&mut buffer).unwrap().is_some());
+}
+
+fn request(fields: usize, value_bytes: usize, body_bytes: usize) -> Vec<u8> {
+    let field = format!("X-Field: {}\r\n", "v".repeat(value_bytes));
+    let body = "b".repeat(body_bytes);
+    format!("POST / HTTP/1.1\r\n{}Content-Length: {body_bytes}\r\n\r\n{body}", field.repeat(fields))
+        .into_bytes()
+}
+
+/// Guards against a client that sends its request in small pieces and so delays all others: with each piece, the whole
+/// head was searched for its end.
+#[test]
+fn the_cost_of_a_head_in_pieces_grows_in_proportion_to_its_length() {
+    let (short, long) = (request(1, 900, 0), request(16, 900, 0));
+    let ratio = cost_ratio(|| parse_bytewise(&short), || parse_bytewise(&long));
+    assert!(ratio < 4.0 * 16.0, "{ratio}");
+}
+
+/// Guards against the same delay by a body in small pieces: with each piece, the head was parsed again.
+#[test]
+fn the_cost_of_a_body_in_pieces_does_not_depend_on_the_head() {
+    let (short, long) = (request(1, 10, 20_000), request(60, 200, 20_000));
+    let ratio = cost_ratio(|| parse_bytewise(&short), || parse_bytewise(&long));
+    assert!(ratio < 4.0, "{ratio}");
+}
--- a/src/frontend/http/reader.rs
+++ b/src/frontend/http/reader.rs
@@ -1,6 +1,6 @@
 //! Reads requests from a connection, with a deadline for each.
 
-use super::message::{self, Request, RequestError};
+use super::message::{Request, RequestError, RequestParser};
 use bytes::BytesMut;
 use std::io;
 use std::time::Duration;
@@ -35,24 +35,20 @@
     deadline: Option<Instant>,
     max_body_bytes: usize,
 ) -> io::Result<Option<Result<Request, RequestError>>> {
+    let mut parser = RequestParser::new(max_body_bytes);
     let mut continue_sent = false;
     let mut started = deadline.is_some() || !buffer.is_empty();
     let timeout = if started { READ_TIMEOUT } else { IDLE_TIMEOUT };
     let mut deadline = deadline.unwrap_or(Instant::now() + timeout);
     loop {
-        let head = match message::read_head(buffer, max_body_bytes) {
-            Ok(head) => head,
+        match parser.next(buffer) {
+            Ok(None) => {}
+            Ok(Some(request)) => return Ok(Some(Ok(request))),
             Err(error) => return Ok(Some(Err(error))),
-        };
-        if let Some(head) = head {
-            let expects_continue = head.expects_continue;
-            if let Some(request) = head.take(buffer) {
-                return Ok(Some(Ok(request)));
-            }
-            if expects_continue && !continue_sent {
-                continue_sent = true;
-                stream.write_all(CONTINUE).await?;
-            }
+        }
+        if parser.expects_continue() && !continue_sent {
+            continue_sent = true;
+            stream.write_all(CONTINUE).await?;
         }
         match tokio::time::timeout_at(deadline, stream.read_buf(buffer)).await {
             Ok(Ok(1..)) => {}
