Line protocol: a response in small pieces costs the same as a response in one

With each piece of a response, its line was searched for its end from the first byte and, while a page was incomplete, parsed again. An engine (or a spoilt connection) that sends a page of 64 KB in pieces of one byte so cost up to 64,000 parses of a line of 4 KB, on the one thread that serves all.

Change: ResponseParser goes on where it stopped, as RequestParser does for clients.

--- a/src/upstream/line_protocol/connection/mod.rs
+++ b/src/upstream/line_protocol/connection/mod.rs
@@ -21,6 +21,7 @@
 use crate::core::ConnectionEnd;
 use crate::service::ServiceEnded;
 use crate::upstream::closing::report_written_attempts;
+use crate::upstream::line_protocol::parse::ResponseParser;
 use crate::upstream::{EndpointCommand, EndpointContext, connect_failure, io_failure};
 use bytes::BytesMut;
 use in_flight::InFlight;
@@ -67,6 +68,7 @@
     health_checks: HashMap<String, Micros>,
     unconfirmed_stops: UnconfirmedStops,
     output: Output,
+    parser: ResponseParser,
     /// Attempts that were never completely written, to be reported to the core.
     never_written: Vec<AttemptId>,
     /// Number of attempts assigned to this connection, shared with the engine's task.
@@ -116,6 +118,7 @@
             health_checks: HashMap::new(),
             unconfirmed_stops: UnconfirmedStops::default(),
             output: Output::default(),
+            parser: ResponseParser::default(),
             never_written: Vec::new(),
             load,
             last_read_at: now,
--- a/src/upstream/line_protocol/connection/responses.rs
+++ b/src/upstream/line_protocol/connection/responses.rs
@@ -3,14 +3,14 @@
 use super::in_flight::{InFlight, PageOutcome};
 use super::{Connection, ExchangeEnd};
 use crate::core::{AttemptEvent, ConnectionEnd, Table};
-use crate::upstream::line_protocol::parse::{self, Response, ResponseKind};
+use crate::upstream::line_protocol::parse::{Response, ResponseKind};
 use bytes::BytesMut;
 
 impl Connection {
     /// Handles all complete responses in the receive buffer.
     pub(super) async fn handle_responses(&mut self, received: &mut BytesMut) -> Result<(), ExchangeEnd> {
         loop {
-            match parse::next(received) {
+            match self.parser.next(received) {
                 Ok(Some(response)) => {
                     self.incomplete_since = None;
                     self.handle_response(response).await?;
--- a/src/upstream/line_protocol/parse.rs
+++ b/src/upstream/line_protocol/parse.rs
@@ -97,12 +97,23 @@
     pub report: Option<LoadReport>,
 }
 
-/// A parsed response line. `body_bytes` is the announced length of the body.
+/// A parsed response line.
+#[derive(Debug)]
 struct Head {
     id: String,
     kind: ResponseKind,
     fields: ResponseFields,
+    /// Announced length of the body; `None` without a body.
     body_bytes: Option<usize>,
+    /// Length of the line with its end.
+    line_bytes: usize,
+}
+
+impl Head {
+    /// Returns the length of the complete response.
+    fn response_bytes(&self) -> usize {
+        self.line_bytes + self.body_bytes.map_or(0, |length| length + CRLF.len())
+    }
 }
 
 fn token<'a>(input: &mut &'a str) -> Result<&'a str, ContextError> {
@@ -194,47 +205,72 @@
     let mut line = (token, preceded(' ', kind), opt(preceded(' ', pairs)), opt(length), eof);
     let (id, kind, pairs, body_bytes, _) = line.parse(text).ok()?;
     let fields = fields(&pairs.unwrap_or_default())?;
-    Some(Head { id: id.to_owned(), kind, fields, body_bytes })
+    let line_bytes = text.len() + CRLF.len();
+    Some(Head { id: id.to_owned(), kind, fields, body_bytes, line_bytes })
 }
 
-/// Removes the next complete response from the front of the receive buffer. Returns `None` if it is incomplete.
-///
-/// # Errors
-/// Fails if the bytes don't follow the protocol. Nothing behind them can be parsed then.
-pub fn next(buffer: &mut BytesMut) -> Result<Option<Response>, ParseError> {
-    let Some(line_end) = buffer.windows(CRLF.len()).position(|pair| pair == CRLF) else {
-        return if buffer.len() > MAX_LINE_BYTES { Err(ParseError::LineTooLong) } else { Ok(None) };
-    };
-    if line_end > MAX_LINE_BYTES {
-        return Err(ParseError::LineTooLong);
-    }
-    let line = &buffer[..line_end];
-    let unknown = || {
-        let shown = &line[..line_end.min(SHOWN_BYTES)];
-        ParseError::UnknownLine(String::from_utf8_lossy(shown).into_owned())
-    };
-    let text = std::str::from_utf8(line).map_err(|_| unknown())?;
-    let Head { id, kind, fields, body_bytes } = head(text).ok_or_else(unknown)?;
-    let body_start = line_end + CRLF.len();
-    let Some(length) = body_bytes else {
-        buffer.advance(body_start);
-        return Ok(Some(Response { id, kind, fields, body: Bytes::new() }));
-    };
-    if length > MAX_BODY_BYTES {
-        return Err(ParseError::BodyTooLong(length));
-    }
-    let body_end = body_start + length;
-    let response_end = body_end + CRLF.len();
-    if buffer.len() < response_end {
-        return Ok(None);
+/// Parses the responses in a receive buffer to which bytes are appended between the calls. Each byte is examined once,
+/// so the cost does not depend on the number of parts in which a response arrives.
+#[derive(Debug, Default)]
+pub struct ResponseParser {
+    /// Length of the part of the buffer that has been searched for the end of the line.
+    searched_bytes: usize,
+    /// The parsed line at the front of the buffer, while its body is incomplete.
+    head: Option<Head>,
+}
+
+impl ResponseParser {
+    /// Removes the next complete response from the front of the receive buffer. Returns `None` if it is incomplete.
+    /// Between two calls, bytes may only be appended to the buffer.
+    ///
+    /// # Errors
+    /// Fails if the bytes don't follow the protocol. Nothing behind them can be parsed then.
+    pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Response>, ParseError> {
+        if self.head.is_none() {
+            self.head = self.parse_line(buffer)?;
+        }
+        let is_complete = |head: &mut Head| buffer.len() >= head.response_bytes();
+        let Some(head) = self.head.take_if(is_complete) else { return Ok(None) };
+        self.searched_bytes = 0;
+        buffer.advance(head.line_bytes);
+        let body = match head.body_bytes {
+            None => Bytes::new(),
+            Some(length) if &buffer[length..length + CRLF.len()] != CRLF => {
+                return Err(ParseError::UnterminatedBody);
+            }
+            Some(length) => {
+                let body = buffer.split_to(length).freeze();
+                buffer.advance(CRLF.len());
+                body
+            }
+        };
+        Ok(Some(Response { id: head.id, kind: head.kind, fields: head.fields, body }))
     }
-    if &buffer[body_end..response_end] != CRLF {
-        return Err(ParseError::UnterminatedBody);
+
+    /// Parses the line at the front of the receive buffer; `None` if it is incomplete.
+    fn parse_line(&mut self, buffer: &[u8]) -> Result<Option<Head>, ParseError> {
+        // The line's end may have begun in the part that was searched before.
+        let start = self.searched_bytes.saturating_sub(CRLF.len() - 1);
+        let end = buffer[start..].windows(CRLF.len()).position(|pair| pair == CRLF);
+        self.searched_bytes = buffer.len();
+        let Some(line_end) = end.map(|position| start + position) else {
+            return if buffer.len() > MAX_LINE_BYTES { Err(ParseError::LineTooLong) } else { Ok(None) };
+        };
+        if line_end > MAX_LINE_BYTES {
+            return Err(ParseError::LineTooLong);
+        }
+        let line = &buffer[..line_end];
+        let unknown = || {
+            let shown = &line[..line_end.min(SHOWN_BYTES)];
+            ParseError::UnknownLine(String::from_utf8_lossy(shown).into_owned())
+        };
+        let text = std::str::from_utf8(line).map_err(|_| unknown())?;
+        let head = head(text).ok_or_else(unknown)?;
+        match head.body_bytes {
+            Some(length) if length > MAX_BODY_BYTES => Err(ParseError::BodyTooLong(length)),
+            _ => Ok(Some(head)),
+        }
     }
-    buffer.advance(body_start);
-    let body = buffer.split_to(length).freeze();
-    buffer.advance(CRLF.len());
-    Ok(Some(Response { id, kind, fields, body }))
 }
 
 /// Parses the rows of a page. Columns are separated by tabs, and each row ends with a line feed.
