TDS engines: a token in small packets costs the same as a token in one

With each packet of an incomplete row, the whole row was read again, its texts decoded and dropped; so a row of N bytes in packets of one byte cost N * N / 2 steps, on the one thread that serves all. A message may have 4 MB.

Change: TokenExtent finds the end of the next token, and goes on where it stopped; the token is read once, when it is complete. A token that can't be read ends the session at once, with a log line of its own, not at the message's end.

--- a/src/tds/token/mod.rs
+++ b/src/tds/token/mod.rs
@@ -1,9 +1,11 @@
 //! Reads and writes the tokens of responses (MS-TDS 2.2.7) and the data of SQL batches and RPC calls.
 
+mod extent;
 mod request;
 mod response_reader;
 mod response_writer;
 
+pub use extent::TokenExtent;
 pub use request::{batch, read_batch, read_rpc};
 pub use response_reader::{Column, Token, read};
 pub use response_writer::{ResponseKind, attention_acknowledgement, error, login_ack, table};
--- a/src/tds/token/response_reader.rs
+++ b/src/tds/token/response_reader.rs
@@ -14,7 +14,7 @@
 use winnow::token::take;
 
 /// The maximum number of columns in a result.
-const MAX_COLUMNS: u16 = 256;
+pub(super) const MAX_COLUMNS: u16 = 256;
 /// The column count that means that the token has no metadata (`NoMetaData`).
 const NO_METADATA: u16 = 0xffff;
 
@@ -103,12 +103,20 @@
     repeat(usize::from(count), column).parse_next(input)
 }
 
+/// Whether the null bitmap of NBCROW marks the value of the column with this index.
+pub(super) fn is_null(null_bitmap: &[u8], index: usize) -> bool {
+    null_bitmap.get(index / 8).is_some_and(|bits| bits >> (index % 8) & 1 == 1)
+}
+
 /// Reads the values of a row. `null_bitmap` is that of NBCROW, with a bit set for each null; it is empty for ROW.
 fn parse_row(columns: &[Column], null_bitmap: &[u8], input: &mut &[u8]) -> ParseResult<Row> {
     let mut row = Row::with_capacity(columns.len());
     for (index, column) in columns.iter().enumerate() {
-        let is_null = null_bitmap.get(index / 8).is_some_and(|bits| bits >> (index % 8) & 1 == 1);
-        row.push(if is_null { None } else { value::read(column.value_type, input)?.into_text() });
+        row.push(if is_null(null_bitmap, index) {
+            None
+        } else {
+            value::read(column.value_type, input)?.into_text()
+        });
     }
     Ok(row)
 }
--- a/src/tds/value.rs
+++ b/src/tds/value.rs
@@ -26,10 +26,10 @@
 
 /// As the length of a type, it marks a type without a limit (`max`). As the length of a value, it marks a null
 /// (`CHARBIN_NULL`).
-const USHORT_MAX_LENGTH: u16 = 0xffff;
+pub(super) const USHORT_MAX_LENGTH: u16 = 0xffff;
 /// The length that marks a null of a type without a limit. Values of such types are sent as partially length-prefixed
 /// (PLP) data.
-const PLP_NULL: u64 = u64::MAX;
+pub(super) const PLP_NULL: u64 = u64::MAX;
 /// The collation of the columns that are written, `SQL_Latin1_General_CP1_CI_AS`.
 const COLLATION: [u8; 5] = [0x09, 0x04, 0xd0, 0x00, 0x34];
 /// The maximum size of text of a type with a limit.
@@ -133,6 +133,26 @@
     }
 }
 
+/// Returns the length of the type with this type byte, including that byte; `None` if the type is not supported.
+pub(super) fn type_bytes(kind: u8) -> Option<usize> {
+    match kind {
+        NVARCHAR | NCHAR | VARCHAR | CHAR => Some(1 + size_of::<u16>() + COLLATION.len()),
+        INTN | BITN | FLTN => Some(1 + size_of::<u8>()),
+        INT1 | BIT | INT2 | INT4 | FLT4 | FLT8 | INT8 => Some(1),
+        _ => None,
+    }
+}
+
+/// Returns the length of a value of the fixed-length type with this type byte.
+pub(super) fn fixed_bytes(kind: u8) -> usize {
+    match kind {
+        INT1 | BIT => 1,
+        INT2 => 2,
+        INT4 | FLT4 => 4,
+        _ => 8,
+    }
+}
+
 /// Reads a number of `length` bytes. `kind` is its variable-length type.
 fn parse_number(kind: u8, length: u8, input: &mut &[u8]) -> ParseResult<Value> {
     let text = match (kind, length) {
--- a/src/upstream/tds/session.rs
+++ b/src/upstream/tds/session.rs
@@ -3,7 +3,7 @@
 use super::Login;
 use crate::clock::Micros;
 use crate::core::ConnectionEnd;
-use crate::tds::token::{self, Column, Token};
+use crate::tds::token::{self, Column, Token, TokenExtent};
 use crate::tds::{login, packet};
 use crate::upstream::{connect_failure, io_failure};
 use bytes::{Buf, BytesMut};
@@ -23,6 +23,8 @@
     stream: TcpStream,
     received: BytesMut,
     tokens: BytesMut,
+    /// The part of the next token that has been received.
+    extent: TokenExtent,
     columns: Vec<Column>,
     /// Whether the last packet of the engine's message was received.
     message_complete: bool,
@@ -45,6 +47,7 @@
             stream,
             received: BytesMut::with_capacity(INITIAL_INPUT_BYTES),
             tokens: BytesMut::new(),
+            extent: TokenExtent::default(),
             columns: Vec::new(),
             message_complete: false,
             last_token_at: now,
@@ -58,7 +61,6 @@
         while !self.message_complete {
             self.read_packet().await?;
         }
-        self.tokens.clear();
         self.send(packet::LOGIN7, &login::login(credentials)).await?;
         let mut acknowledged = false;
         loop {
@@ -83,6 +85,7 @@
     pub(super) async fn send(&mut self, kind: u8, data: &[u8]) -> Result<(), ConnectionEnd> {
         self.message_complete = false;
         self.tokens.clear();
+        self.extent = TokenExtent::default();
         let sent = self.stream.write_all(&packet::message(kind, data)).await;
         sent.map_err(|error| io_failure(&error))
     }
@@ -119,26 +122,34 @@
 
     /// Reads the next complete token. Cancel safe: no byte is lost if the future is dropped.
     pub(super) async fn next_token(&mut self) -> Result<Token, ConnectionEnd> {
-        loop {
-            let mut input = &self.tokens[..];
-            let available = input.len();
-            if let Ok(token) = token::read(&self.columns, &mut input) {
-                let used = available - input.len();
-                self.tokens.advance(used);
-                if let Token::Columns(columns) = &token {
-                    self.columns.clone_from(columns);
-                }
-                return Ok(token);
-            }
+        while !self.extent.is_complete(&self.columns, &self.tokens) {
             if self.message_complete {
                 log::warn!(
-                    remaining_bytes = available;
+                    remaining_bytes = self.tokens.len();
                     "TDS engine sent a message that ends within a token: session closed"
                 );
                 return Err(ConnectionEnd::Malformed);
             }
             self.read_packet().await?;
         }
+        self.take_token()
+    }
+
+    /// Removes the token at the front of the received ones, which is complete.
+    fn take_token(&mut self) -> Result<Token, ConnectionEnd> {
+        self.extent = TokenExtent::default();
+        let mut input = &self.tokens[..];
+        let available = input.len();
+        let Ok(token) = token::read(&self.columns, &mut input) else {
+            log::warn!("TDS engine sent an invalid token: session closed");
+            return Err(ConnectionEnd::Malformed);
+        };
+        let used = available - input.len();
+        self.tokens.advance(used);
+        if let Token::Columns(columns) = &token {
+            self.columns.clone_from(columns);
+        }
+        Ok(token)
     }
 
     /// Sends an Attention and reads until its acknowledgement. Returns true if the session can carry another request.
