Discovery: a late response of the name service finds its socket and its query open

The manager never learned of the drain.

Cause: after three queries without an answer within 0.2 s each, the socket was closed, with all queries that were open on it. So a response that took longer than 0.6 s always found nobody waiting, while the next socket began to wait from nothing.

Change: sockets stay open beside the one from which queries are sent, and a response is used when it arrives, in the middle of a poll interval too. Errors of a socket, and of opening one, leave the others in use. What an event leads to is done outside of the select, so that a reload can't drop a change of the list between the list and the core. Late responses are logged.

--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -1,12 +1,17 @@
 //! Discovery of the engines: starts with the list in the configuration, then polls the name service over DNS.
 //!
+//! Queries are sent at a fixed interval. Each response is used when it arrives, however late: the serial of its list
+//! shows which list is the newest.
+//!
 //! Each query requests the SRV records of the configured service. A response lists all engines. The first two labels of
 //! an SRV target are the engine's name and zone, its A record is the address, and its TXT records hold kind, cell and
 //! start time. The SOA serial is the version of the list. The core receives only the engines that changed.
 
 pub mod dns;
 mod endpoint_list;
-mod queries;
+mod poll_log;
+mod query_client;
+mod query_paths;
 
 pub use endpoint_list::EngineList;
 
@@ -14,23 +19,18 @@
 use crate::core::{Engine, EngineListUpdate, Input};
 use crate::decision::EngineState;
 use crate::service::{ServiceEnded, ServiceHandle};
-use queries::QuerySocket;
+use poll_log::PollLog;
+use query_client::{QueryClient, ReceivedResponse};
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::watch;
-use tokio::time::Instant;
+use tokio::time::{Interval, MissedTickBehavior};
 
 /// Time between two queries. An event counts as announced 1.5 s after it happened at the latest, and a draining engine
 /// may receive work for 0.5 s more. Two lost responses in a row must fit into that time.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
-/// Upper limit of a response. It is above the longest response that the name service sends.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024;
-/// After this many consecutive failures the queries are sent from a new socket. All responses to one socket may be lost
-/// on the network path, and an event must be known 1.5 s after it happened.
-const FAILURES_BEFORE_NEW_SOCKET: u32 = 3;
-/// Of consecutive failures, the first of each group of this many is logged as a warning, the others at debug level.
-const FAILURES_PER_WARNING: u32 = 25;
 /// SRV weight of an engine of relative size 1.
 const SRV_WEIGHT_UNIT: f64 = 10.0;
 
@@ -55,7 +55,7 @@
 #[derive(Debug, Error)]
 enum QueryError {
     #[error("{0}")]
-    Socket(#[from] std::io::Error),
+    Socket(#[from] io::Error),
     #[error("no response within {} ms", POLL_INTERVAL.as_millis())]
     NoResponse,
     #[error("{0}")]
@@ -63,7 +63,7 @@
 }
 
 /// What the configuration says about discovery. A reload replaces it.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct DiscoveryTarget {
     /// Address of the name service. Without one, the configured list is used unchanged.
     pub resolver: Option<SocketAddr>,
@@ -87,111 +87,135 @@
     clock: Clock,
     seed: u64,
 ) {
-    let mut list = target.borrow_and_update().configured_engines.clone();
-    let mut rng = oorandom::Rand32::new(seed);
+    let mut poller = Poller::new(&target.borrow_and_update(), handle, clock, seed);
     loop {
-        let (resolver, service) = {
-            let target = target.borrow_and_update();
-            (target.resolver, target.service.clone())
-        };
-        let mut poller =
-            Poller { service: &service, list: &mut list, handle: &handle, clock: &clock, rng: &mut rng };
-        let target_changed = tokio::select! {
-            changed = target.changed() => changed.is_ok(),
-            ServiceEnded = poller.poll(resolver) => false,
+        // What an event leads to is done outside of this wait, so that a new target does not interrupt it.
+        let event = poller.next_event(&mut target).await;
+        let handled = match event {
+            PollEvent::QueryDue => {
+                poller.send_query().await;
+                Ok(())
+            }
+            PollEvent::Received(received) => poller.handle_received(received).await,
+            PollEvent::TargetChanged => {
+                let new_target = target.borrow_and_update().clone();
+                poller.set_target(&new_target).await
+            }
+            PollEvent::TargetClosed => Err(ServiceEnded),
         };
-        if !target_changed {
-            return;
-        }
-        let changed = list.update_from(&target.borrow_and_update().configured_engines);
-        if notify(&handle, changed).await.is_err() {
+        if handled.is_err() {
             return;
         }
     }
 }
 
-/// Notifies the core of changed engines.
-async fn notify(handle: &ServiceHandle, changed: Vec<Engine>) -> Result<(), ServiceEnded> {
-    if changed.is_empty() {
-        return Ok(());
-    }
-    handle.notify(Input::Engines(EngineListUpdate::Changed(changed))).await
+/// What a poller waits for.
+enum PollEvent {
+    QueryDue,
+    Received(Result<ReceivedResponse, QueryError>),
+    TargetChanged,
+    /// No target will follow: the program ends.
+    TargetClosed,
 }
 
-/// Polls one name service.
-struct Poller<'a> {
-    service: &'a str,
-    list: &'a mut EngineList,
-    handle: &'a ServiceHandle,
-    clock: &'a Clock,
-    rng: &'a mut oorandom::Rand32,
+/// Polls one name service, and notifies the core of changed engines.
+struct Poller {
+    list: EngineList,
+    handle: ServiceHandle,
+    clock: Clock,
+    rng: oorandom::Rand32,
+    /// `None` without a name service.
+    client: Option<QueryClient>,
+    interval: Interval,
+    /// Whether the last query was followed by no usable response so far.
+    response_due: bool,
+    /// The last error since the last query was sent.
+    last_error: Option<QueryError>,
+    log: PollLog,
 }
 
-impl Poller<'_> {
-    /// Polls at [`POLL_INTERVAL`]. Returns only once this program's service has ended.
-    async fn poll(&mut self, resolver: Option<SocketAddr>) -> ServiceEnded {
-        let Some(resolver) = resolver else { return std::future::pending().await };
-        let mut buffer = vec![0; MAX_RESPONSE_BYTES];
-        let mut failures = ConsecutiveFailures::default();
-        let mut queries = None;
-        loop {
-            let deadline = Instant::now() + POLL_INTERVAL;
-            match self.query(resolver, &mut queries, &mut buffer, deadline).await {
-                Ok(listed) => {
-                    failures.reset();
-                    let changed = self.list.update(listed.serial, listed.engines);
-                    if let Err(ended) = notify(self.handle, changed).await {
-                        return ended;
-                    }
-                }
-                Err(error) => {
-                    if failures.record(&error) {
-                        queries = None;
-                    }
-                }
-            }
-            tokio::time::sleep_until(deadline).await;
+impl Poller {
+    fn new(target: &DiscoveryTarget, handle: ServiceHandle, clock: Clock, seed: u64) -> Poller {
+        let mut interval = tokio::time::interval(POLL_INTERVAL);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        Poller {
+            list: target.configured_engines.clone(),
+            handle,
+            clock,
+            rng: oorandom::Rand32::new(seed),
+            client: target.resolver.map(|resolver| QueryClient::new(resolver, &target.service, clock)),
+            interval,
+            response_due: false,
+            last_error: None,
+            log: PollLog::default(),
         }
     }
 
-    async fn query(
-        &mut self,
-        resolver: SocketAddr,
-        queries: &mut Option<QuerySocket>,
-        buffer: &mut [u8],
-        deadline: Instant,
-    ) -> Result<ListedEngines, QueryError> {
-        let id = (self.rng.rand_u32() & 0xffff) as u16;
-        let queries = match queries {
-            Some(queries) => queries,
-            None => queries.insert(QuerySocket::connect(resolver).await?),
-        };
-        queries.send(self.service, id).await?;
-        let response = queries.response(buffer, deadline).await?;
-        Ok(listed_engines(&response, self.clock)?)
+    async fn next_event(&mut self, target: &mut watch::Receiver<DiscoveryTarget>) -> PollEvent {
+        let Some(client) = &mut self.client else { return target_event(target).await };
+        tokio::select! {
+            biased;
+            event = target_event(target) => event,
+            _ = self.interval.tick() => PollEvent::QueryDue,
+            received = client.receive() => PollEvent::Received(received),
+        }
     }
-}
 
-/// Number of consecutive queries that failed.
-#[derive(Default)]
-struct ConsecutiveFailures(u32);
+    async fn send_query(&mut self) {
+        let Some(client) = &mut self.client else { return };
+        if self.response_due {
+            self.log.failed(&self.last_error.take().unwrap_or(QueryError::NoResponse));
+        }
+        self.response_due = true;
+        let id = (self.rng.rand_u32() & 0xffff) as u16;
+        let sent = tokio::time::timeout(POLL_INTERVAL, client.send(id)).await;
+        self.last_error = sent.unwrap_or_else(|elapsed| Err(io::Error::from(elapsed).into())).err();
+    }
 
-impl ConsecutiveFailures {
-    fn reset(&mut self) {
-        if self.0 >= FAILURES_PER_WARNING {
-            log::info!(count = self.0; "name service: responds again after failed queries");
+    async fn handle_received(
+        &mut self,
+        received: Result<ReceivedResponse, QueryError>,
+    ) -> Result<(), ServiceEnded> {
+        let listed = received.and_then(|received| {
+            let listed = listed_engines(&received.response, &self.clock)?;
+            self.log.responded(received.delay);
+            Ok(listed)
+        });
+        match listed {
+            Ok(listed) => {
+                self.response_due = false;
+                let changed = self.list.update(listed.serial, listed.engines);
+                self.notify(changed).await
+            }
+            Err(error) => {
+                self.last_error = Some(error);
+                Ok(())
+            }
         }
-        self.0 = 0;
     }
 
-    /// Counts and logs a failure. Returns true if the next query has to use a new socket.
-    fn record(&mut self, error: &QueryError) -> bool {
-        self.0 += 1;
-        match self.0 % FAILURES_PER_WARNING {
-            1 => log::warn!(error:%, count = self.0; "name service: query failed"),
-            _ => log::debug!(error:%, count = self.0; "name service: query failed"),
+    /// Applies the configured list of a new target, and queries its name service at once.
+    async fn set_target(&mut self, target: &DiscoveryTarget) -> Result<(), ServiceEnded> {
+        self.client = target.resolver.map(|resolver| QueryClient::new(resolver, &target.service, self.clock));
+        self.response_due = false;
+        self.interval.reset_immediately();
+        let changed = self.list.update_from(&target.configured_engines);
+        self.notify(changed).await
+    }
+
+    /// Notifies the core of changed engines.
+    async fn notify(&self, changed: Vec<Engine>) -> Result<(), ServiceEnded> {
+        if changed.is_empty() {
+            return Ok(());
         }
-        self.0.is_multiple_of(FAILURES_BEFORE_NEW_SOCKET)
+        self.handle.notify(Input::Engines(EngineListUpdate::Changed(changed))).await
+    }
+}
+
+async fn target_event(target: &mut watch::Receiver<DiscoveryTarget>) -> PollEvent {
+    match target.changed().await {
+        Ok(()) => PollEvent::TargetChanged,
+        Err(_) => PollEvent::TargetClosed,
     }
 }
 
