Discovery: open queries survive a reload that leaves the name service as it is

Each reload (SIGHUP) closed the socket with its open queries, also where the name service stayed the same; with configurations in quick succession and a slow name service no response was ever read.

Change: the client of the name service stays in use where address and service are the same. Where one of them changes, its responses are not accepted any more, as before: the old name service may list what the new one does not.

--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -194,10 +194,18 @@
         }
     }
 
-    /// Applies the configured list of a new target, and queries its name service at once.
+    /// Applies the configured list of a new target, and queries its name service at once. Open queries to the same name
+    /// service stay open.
     async fn set_target(&mut self, target: &DiscoveryTarget) -> Result<(), ServiceEnded> {
-        self.client = target.resolver.map(|resolver| QueryClient::new(resolver, &target.service, self.clock));
-        self.response_due = false;
+        let same_client =
+            |client: &QueryClient, resolver: SocketAddr| client.queries(resolver, &target.service);
+        self.client = target.resolver.map(|resolver| match self.client.take() {
+            Some(client) if same_client(&client, resolver) => client,
+            _ => {
+                self.response_due = false;
+                QueryClient::new(resolver, &target.service, self.clock)
+            }
+        });
         self.interval.reset_immediately();
         let changed = self.list.update_from(&target.configured_engines);
         self.notify(changed).await
--- a/src/discovery/query_client.rs
+++ b/src/discovery/query_client.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Whether the client queries this name service for this service.
+    pub(super) fn queries(&self, resolver: SocketAddr, service: &str) -> bool {
+        self.resolver == resolver && self.service == service
+    }
+
     /// Sends a query with this id.
     pub(super) async fn send(&mut self, id: u16) -> Result<(), QueryError> {
         for socket in self.sockets.values_mut() {
--- a/src/discovery/tests.rs
+++ b/src/discovery/tests.rs
@@ -97,3 +97,22 @@
     tokio::spawn(run(receiver, handle, Clock::start(), 1));
     wait_for_removal(&mut messages).await;
 }
+
+/// Guards against configurations in quick succession, each of which closed the open queries to the same name service.
+#[tokio::test]
+async fn a_response_after_a_reload_of_the_same_name_service_changes_the_list() {
+    let resolver = start_slow_service(Duration::from_millis(500)).await;
+    let (sender, receiver) = watch::channel(target(resolver));
+    let (handle, mut messages) = ServiceHandle::new();
+    tokio::spawn(run(receiver, handle, Clock::start(), 1));
+    let reloads = async {
+        loop {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            sender.send_replace(target(resolver));
+        }
+    };
+    tokio::select! {
+        () = reloads => {}
+        () = wait_for_removal(&mut messages) => {}
+    }
+}
