One search for the end of a head or line, one table of progress notes

No change of behaviour. RequestParser and ResponseParser each kept the position up to which they had searched; both use DelimiterSearch now. The names of progress notes and the meaning of `held` stood in the line protocol's parser and in that of TDS; upstream::progress_note has them once.

--- a/src/frontend/http/message/request.rs
+++ b/src/frontend/http/message/request.rs
@@ -1,5 +1,6 @@
 //! Reads HTTP/1.1 requests (RFC 9112). The head is parsed with winnow.
 
+use crate::delimiter_search::DelimiterSearch;
 use bytes::{Buf, Bytes, BytesMut};
 use thiserror::Error;
 use winnow::Parser;
@@ -88,8 +89,8 @@
 #[derive(Debug)]
 pub struct RequestParser {
     max_body_bytes: usize,
-    /// The length of the part of the buffer that has been searched for the end of the head.
-    searched_bytes: usize,
+    /// The search for the end of the head.
+    head_end: DelimiterSearch,
     /// The parsed head, while the body is incomplete.
     head: Option<Head>,
 }
@@ -106,7 +107,7 @@
 impl RequestParser {
     /// Creates a parser of a request whose body may have at most `max_body_bytes`.
     pub fn new(max_body_bytes: usize) -> RequestParser {
-        RequestParser { max_body_bytes, searched_bytes: 0, head: None }
+        RequestParser { max_body_bytes, head_end: DelimiterSearch::default(), head: None }
     }
 
     /// Removes the request from the front of the receive buffer; `None` if it is incomplete. Between two calls, bytes
@@ -121,7 +122,7 @@
         }
         let is_complete = |head: &mut Head| buffer.len() >= head.head_bytes + head.body_bytes;
         let Some(head) = self.head.take_if(is_complete) else { return Ok(None) };
-        self.searched_bytes = 0;
+        self.head_end.restart();
         buffer.advance(head.head_bytes);
         let body = buffer.split_to(head.body_bytes).freeze();
         Ok(Some(Request { body, ..head.request }))
@@ -137,7 +138,7 @@
         // Empty lines before a request are ignored (RFC 9112, section 2.2).
         while buffer.starts_with(LINE_END) {
             buffer.advance(LINE_END.len());
-            self.searched_bytes = 0;
+            self.head_end.restart();
         }
         let Some(head_bytes) = self.head_length(buffer)? else { return Ok(None) };
         let text = std::str::from_utf8(&buffer[..head_bytes]).map_err(|_| RequestError::Malformed)?;
@@ -161,11 +162,8 @@
 
     /// Returns the length of the head; `None` if its end has not been received.
     fn head_length(&mut self, buffer: &[u8]) -> Result<Option<usize>, RequestError> {
-        // The end of the head may have begun in the part that was searched before.
-        let start = self.searched_bytes.saturating_sub(HEAD_END.len() - 1);
-        let end = buffer[start..].windows(HEAD_END.len()).position(|window| window == HEAD_END);
-        self.searched_bytes = buffer.len();
-        match end.map(|position| start + position + HEAD_END.len()) {
+        let end = self.head_end.find(buffer, HEAD_END);
+        match end.map(|position| position + HEAD_END.len()) {
             Some(length) if length <= MAX_HEAD_BYTES => Ok(Some(length)),
             None if buffer.len() <= MAX_HEAD_BYTES => Ok(None),
             _ => Err(RequestError::HeadTooLong),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod config;
 pub mod core;
 pub mod decision;
+pub mod delimiter_search;
 pub mod discovery;
 pub mod frontend;
 pub mod lifecycle;
--- a/src/upstream/line_protocol/parse.rs
+++ b/src/upstream/line_protocol/parse.rs
@@ -5,6 +5,8 @@
 
 use crate::core::Row;
 use crate::decision::{LoadReport, ProgressNote, Usage};
+use crate::delimiter_search::DelimiterSearch;
+use crate::upstream::progress_note;
 use bytes::{Buf, Bytes, BytesMut};
 use std::time::Duration;
 use thiserror::Error;
@@ -172,24 +174,12 @@
     Some(ResponseFields {
         page_count,
         page,
-        note: find("n").and_then(|name| note(name, amount)),
+        note: find("n").and_then(|name| progress_note(name, amount)),
         usage: usage.filter(|usage| usage.work_ms > 0.0),
         report: find("l").map(load_report),
     })
 }
 
-fn note(name: &str, amount: f64) -> Option<ProgressNote> {
-    /// Amount of a `held` note that means waiting for a load. Other amounts mean waiting for memory.
-    const WAITS_FOR_LOAD: f64 = 2.0;
-    match name {
-        "share" => Some(ProgressNote::Progress(amount)),
-        "short" => Some(ProgressNote::Spills(amount)),
-        "held" if amount == WAITS_FOR_LOAD => Some(ProgressNote::WaitsForLoad),
-        "held" => Some(ProgressNote::WaitsForMemory),
-        _ => None,
-    }
-}
-
 fn head(text: &str) -> Option<Head> {
     let kind = alt((
         "200".value(ResponseKind::Ok),
@@ -213,8 +203,8 @@
 /// so the cost does not depend on the number of parts in which a response arrives.
 #[derive(Debug, Default)]
 pub struct ResponseParser {
-    /// Length of the part of the buffer that has been searched for the end of the line.
-    searched_bytes: usize,
+    /// The search for the end of the line.
+    line_end: DelimiterSearch,
     /// The parsed line at the front of the buffer, while its body is incomplete.
     head: Option<Head>,
 }
@@ -231,7 +221,7 @@
         }
         let is_complete = |head: &mut Head| buffer.len() >= head.response_bytes();
         let Some(head) = self.head.take_if(is_complete) else { return Ok(None) };
-        self.searched_bytes = 0;
+        self.line_end.restart();
         buffer.advance(head.line_bytes);
         let body = match head.body_bytes {
             None => Bytes::new(),
@@ -249,11 +239,7 @@
 
     /// Parses the line at the front of the receive buffer; `None` if it is incomplete.
     fn parse_line(&mut self, buffer: &[u8]) -> Result<Option<Head>, ParseError> {
-        // The line's end may have begun in the part that was searched before.
-        let start = self.searched_bytes.saturating_sub(CRLF.len() - 1);
-        let end = buffer[start..].windows(CRLF.len()).position(|pair| pair == CRLF);
-        self.searched_bytes = buffer.len();
-        let Some(line_end) = end.map(|position| start + position) else {
+        let Some(line_end) = self.line_end.find(buffer, CRLF) else {
             return if buffer.len() > MAX_LINE_BYTES { Err(ParseError::LineTooLong) } else { Ok(None) };
         };
         if line_end > MAX_LINE_BYTES {
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::clock::{Clock, Micros};
 use crate::core::{AttemptEvent, AttemptId, Call, ConnectionEnd, HealthCheckResult, Input};
-use crate::decision::LoadReport;
+use crate::decision::{LoadReport, ProgressNote};
 use crate::service::{ServiceEnded, ServiceHandle};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -202,6 +202,20 @@
     }
 }
 
+/// Amount of a `held` note that means waiting for a load. Other amounts mean waiting for memory.
+const WAITS_FOR_LOAD: f64 = 2.0;
+
+/// Returns the progress note with this name and amount; `None` if the name is unknown. Both protocols have the same names.
+pub fn progress_note(name: &str, amount: f64) -> Option<ProgressNote> {
+    match name {
+        "share" => Some(ProgressNote::Progress(amount)),
+        "short" => Some(ProgressNote::Spills(amount)),
+        "held" if amount == WAITS_FOR_LOAD => Some(ProgressNote::WaitsForLoad),
+        "held" => Some(ProgressNote::WaitsForMemory),
+        _ => None,
+    }
+}
+
 /// Returns how a connection attempt failed.
 pub fn connect_failure(error: &std::io::Error) -> ConnectionEnd {
     match error.kind() {
--- a/src/upstream/tds/connection.rs
+++ b/src/upstream/tds/connection.rs
@@ -11,7 +11,7 @@
 use crate::tds::token::{self, Token};
 use crate::upstream::closing::report_written_attempts;
 use crate::upstream::line_protocol::load_report;
-use crate::upstream::{EndpointCommand, EndpointContext, ResultBudget};
+use crate::upstream::{EndpointCommand, EndpointContext, ResultBudget, progress_note};
 use std::net::SocketAddr;
 use tokio::sync::mpsc;
 
@@ -299,28 +299,20 @@
     Usage(Usage),
 }
 
+/// Names of the notes, in the order in which they are looked for in the text of an INFO token.
+const NOTE_NAMES: [&str; 3] = ["share", "short", "held"];
+
 /// Parses the text of an INFO token: `share=0.4`, `short=64`, `held=1`, or `toil=120 room=64`.
 fn parse_info(text: &str) -> Option<InfoContent> {
-    /// Amount of `held` that means waiting for a load. Other amounts mean waiting for memory.
-    const WAITS_FOR_LOAD: f64 = 2.0;
     let find = |name: &str| {
         let value = text.split(' ').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
         value.and_then(|value| value.parse::<f64>().ok()).filter(|value| value.is_finite())
     };
-    let note = if let Some(fraction) = find("share") {
-        ProgressNote::Progress(fraction)
-    } else if let Some(megabytes) = find("short") {
-        ProgressNote::Spills(megabytes)
-    } else if let Some(amount) = find("held") {
-        match amount == WAITS_FOR_LOAD {
-            true => ProgressNote::WaitsForLoad,
-            false => ProgressNote::WaitsForMemory,
-        }
-    } else {
-        let work_ms = find("toil")?;
-        return Some(InfoContent::Usage(Usage { work_ms, memory_mb: find("room").unwrap_or(0.0) }));
-    };
-    Some(InfoContent::Note(note))
+    if let Some(note) = NOTE_NAMES.iter().find_map(|name| progress_note(name, find(name)?)) {
+        return Some(InfoContent::Note(note));
+    }
+    let work_ms = find("toil")?;
+    Some(InfoContent::Usage(Usage { work_ms, memory_mb: find("room").unwrap_or(0.0) }))
 }
 
 /// Requests the load report of an engine.
