Health checks: an answer after the time-out counts as an answer

Callers got 503 for every request where each engine answers its health checks after the time-out (connectTimeoutMs, 250 ms on the platform): seen with one engine that answers checks after 400 ms and requests at once.

Cause: a check that timed out was forgotten, so its answer was dropped. After two such checks the engine was ejected "until it answers", which it did each time, in vain. Nor was its load report ever fresh. Over TDS the session was closed instead.

The checks of a connection have a module of their own.

Test, failing before on both protocols (503 instead of 200): an_engine_whose_health_checks_are_answered_late_is_used.

--- a/src/upstream/line_protocol/connection/commands.rs
+++ b/src/upstream/line_protocol/connection/commands.rs
@@ -2,7 +2,6 @@
 
 use super::in_flight::InFlight;
 use super::output::{QueuedRequest, Withdrawal};
-use super::stopping::HEALTH_CHECK_PREFIX;
 use super::{Connection, ExchangeEnd};
 use crate::clock::Micros;
 use crate::core::AttemptId;
@@ -128,12 +127,6 @@
         }
     }
 
-    fn send_health_check(&mut self, now: Micros) {
-        let tag = self.unconfirmed_stops.next_tag(HEALTH_CHECK_PREFIX);
-        self.output.push(format_args!("STAT {tag}\r\n"));
-        self.health_checks.insert(tag, now);
-    }
-
     fn request_of(&self, attempt: AttemptId) -> Option<String> {
         let mut in_flight = self.in_flight.iter();
         in_flight
--- a/src/upstream/line_protocol/connection/mod.rs
+++ b/src/upstream/line_protocol/connection/mod.rs
@@ -4,12 +4,14 @@
 //!   commands ──> commands.rs ──> output.rs ──> socket      requests and other lines, written in order
 //!   core     <── responses.rs <─────────────── socket      notes, pages, answers
 //!   core     <── timeouts.rs                               missing responses, at all or about one request
+//!   core     <── health_checks.rs                          health checks that are answered, late or missing
 //!   core     <── ../../closing.rs <───────────── socket    the end of the connection
 //! ```
 //!
 //! An attempt is possibly executed once its last byte is written. Before that, it is never executed.
 
 mod commands;
+mod health_checks;
 mod in_flight;
 mod output;
 mod responses;
@@ -24,6 +26,7 @@
 use crate::upstream::line_protocol::parse::ResponseParser;
 use crate::upstream::{EndpointCommand, EndpointContext, connect_failure, io_failure};
 use bytes::BytesMut;
+use health_checks::HealthChecks;
 use in_flight::InFlight;
 use output::Output;
 use std::collections::HashMap;
@@ -64,8 +67,7 @@
     context: EndpointContext,
     /// Attempts by client request id, from the time they are added to the output buffer.
     in_flight: HashMap<String, InFlight>,
-    /// Send time of each unanswered health check, by tag.
-    health_checks: HashMap<String, Micros>,
+    health_checks: HealthChecks,
     unconfirmed_stops: UnconfirmedStops,
     output: Output,
     parser: ResponseParser,
@@ -115,7 +117,7 @@
         Connection {
             context,
             in_flight: HashMap::new(),
-            health_checks: HashMap::new(),
+            health_checks: HealthChecks::default(),
             unconfirmed_stops: UnconfirmedStops::default(),
             output: Output::default(),
             parser: ResponseParser::default(),
@@ -236,14 +238,6 @@
         in_flight.chain(self.unconfirmed_stops.take_all()).collect()
     }
 
-    async fn report_health_checks(&mut self, end: ConnectionEnd) -> Result<(), ServiceEnded> {
-        let now = self.context.clock.now();
-        for sent_at in std::mem::take(&mut self.health_checks).into_values() {
-            self.context.report_health_check(end, None, now - sent_at).await?;
-        }
-        Ok(())
-    }
-
     /// Records that the connection carries one attempt less.
     fn decrement_load(&self) {
         self.load.fetch_sub(1, Ordering::Relaxed);
--- a/src/upstream/line_protocol/connection/responses.rs
+++ b/src/upstream/line_protocol/connection/responses.rs
@@ -37,10 +37,8 @@
                 self.context.report_ended(attempt, end).await?;
             }
         }
-        if let Some(sent_at) = self.health_checks.remove(&response.id) {
-            let end = health_check_end(response.kind);
-            let elapsed = self.last_read_at - sent_at;
-            return Ok(self.context.report_health_check(end, response.fields.report, elapsed).await?);
+        if self.handle_health_check_response(&response).await? {
+            return Ok(());
         }
         // The engine sent this response before it read the `STOP` of the request.
         let Some(in_flight) = self.in_flight.get_mut(&response.id) else { return Ok(()) };
@@ -157,14 +155,6 @@
     }
 }
 
-fn health_check_end(kind: ResponseKind) -> ConnectionEnd {
-    match kind {
-        ResponseKind::Alive => ConnectionEnd::Answered,
-        ResponseKind::EngineFull => ConnectionEnd::AnsweredFull,
-        _ => ConnectionEnd::AnsweredError,
-    }
-}
-
 fn attempt_end(kind: ResponseKind) -> ConnectionEnd {
     match kind {
         ResponseKind::EngineFull => ConnectionEnd::AnsweredFull,
--- a/src/upstream/line_protocol/connection/timeouts.rs
+++ b/src/upstream/line_protocol/connection/timeouts.rs
@@ -19,18 +19,19 @@
     /// Returns when [`Connection::handle_timeouts`] has to be called next.
     pub(super) fn next_timeout(&self) -> Instant {
         let limits = &self.context.limits;
-        let health_checks = self.health_checks.values().map(|sent_at| *sent_at + limits.health_check_timeout);
+        let health_check = self.health_checks.next_timeout(limits.health_check_timeout);
         let reported = self.in_flight.values().filter(|_| limits.engines_report_progress);
         let silent_requests = reported.map(|in_flight| in_flight.last_response_at + limits.silence_timeout);
         let incomplete = self.incomplete_since.map(|since| since + limits.incomplete_response_timeout);
-        let first = health_checks.chain(silent_requests).chain(self.silent_at()).chain(incomplete).min();
+        let others = [health_check, self.silent_at(), incomplete].into_iter().flatten();
+        let first = silent_requests.chain(others).min();
         let at = first.unwrap_or(self.last_command_at + limits.idle_timeout);
         self.context.clock.instant(at)
     }
 
     fn is_busy(&self) -> bool {
         !self.in_flight.is_empty()
-            || !self.health_checks.is_empty()
+            || self.health_checks.is_pending()
             || self.unconfirmed_stops.awaits_confirmation()
             || !self.output.queued.is_empty()
     }
@@ -38,7 +39,7 @@
     /// Returns whether the engine owes a response.
     fn is_response_due(&self) -> bool {
         let reports = self.context.limits.engines_report_progress && !self.in_flight.is_empty();
-        reports || !self.health_checks.is_empty() || self.unconfirmed_stops.awaits_confirmation()
+        reports || self.health_checks.is_pending() || self.unconfirmed_stops.awaits_confirmation()
     }
 
     /// Returns when the engine counts as disconnected or hanging, since it owes a response and sends none, or reads
@@ -67,7 +68,7 @@
         if !self.is_busy() && now >= self.last_command_at + self.context.limits.idle_timeout {
             return Err(ExchangeEnd::Idle);
         }
-        self.time_out_health_checks(now).await
+        Ok(self.time_out_health_checks(now).await?)
     }
 
     /// Stops requests about which the engine sends nothing. Guards against an answer or a page that never arrives: the
@@ -90,16 +91,4 @@
             self.abandon_request(&client_request_id, ConnectionEnd::RequestSilent);
         }
     }
-
-    async fn time_out_health_checks(&mut self, now: Micros) -> Result<(), ExchangeEnd> {
-        let oldest = now - self.context.limits.health_check_timeout;
-        let late = self.health_checks.iter().filter(|(_, sent_at)| **sent_at <= oldest);
-        let tags: Vec<String> = late.map(|(tag, _)| tag.clone()).collect();
-        for tag in tags {
-            if let Some(sent_at) = self.health_checks.remove(&tag) {
-                self.context.report_health_check(ConnectionEnd::TimedOut, None, now - sent_at).await?;
-            }
-        }
-        Ok(())
-    }
 }
--- a/src/upstream/tds/connection.rs
+++ b/src/upstream/tds/connection.rs
@@ -144,17 +144,39 @@
     }
 
     /// Requests the load report and reports it to the core. Returns true if the session can carry another request.
+    ///
+    /// A health check without an answer in time is reported as timed out. A late answer is reported beside that, since
+    /// it shows that the engine is up: without it, an engine whose answers are always late would stay ejected.
     async fn check_health(&self, session: &mut Session, started_at: Micros) -> Result<bool, ServiceEnded> {
-        let timeout = self.context.limits.health_check_timeout.to_duration();
-        let (end, report) = match tokio::time::timeout(timeout, query_load(session)).await {
-            Ok(Ok(report)) => (ConnectionEnd::Answered, Some(report)),
-            Ok(Err(end)) => (end, None),
-            Err(_) => (ConnectionEnd::TimedOut, None),
+        let limits = &self.context.limits;
+        let query = query_load(session);
+        tokio::pin!(query);
+        let timeout = limits.health_check_timeout.to_duration();
+        let result = match tokio::time::timeout(timeout, &mut query).await {
+            Ok(result) => result,
+            Err(_) => {
+                self.report_health_check(started_at, ConnectionEnd::TimedOut, None).await?;
+                let late = tokio::time::timeout(limits.silence_timeout.to_duration(), query).await;
+                let Ok(Ok(report)) = late else { return Ok(false) };
+                Ok(report)
+            }
+        };
+        let (end, report) = match result {
+            Ok(report) => (ConnectionEnd::Answered, Some(report)),
+            Err(end) => (end, None),
         };
+        self.report_health_check(started_at, end, report).await?;
+        Ok(report.is_some())
+    }
+
+    async fn report_health_check(
+        &self,
+        started_at: Micros,
+        end: ConnectionEnd,
+        report: Option<LoadReport>,
+    ) -> Result<(), ServiceEnded> {
         let elapsed = self.context.clock.now() - started_at;
-        let answered = report.is_some();
-        self.context.report_health_check(end, report, elapsed).await?;
-        Ok(answered)
+        self.context.report_health_check(end, report, elapsed).await
     }
 }
 
--- a/tests/common/engines/line_protocol_session.rs
+++ b/tests/common/engines/line_protocol_session.rs
@@ -1,6 +1,6 @@
 //! A connection to an emulated engine with the line protocol.
 
-use super::{Paused, Received, wait_while_paused};
+use super::{Controls, Received};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
@@ -11,14 +11,18 @@
 const WAITS_FOR_MEMORY: &str = "status n=held,val=1 0\r\n\r\n";
 
 /// Serves a connection until it is closed, or a statement closes it.
-pub fn speak_line_protocol(stream: TcpStream, received: &Received, paused: &Paused) -> std::io::Result<()> {
+pub fn speak_line_protocol(
+    stream: TcpStream,
+    received: &Received,
+    controls: &Controls,
+) -> std::io::Result<()> {
     let out = stream.try_clone()?;
     let mut input = BufReader::new(stream);
     let mut session = Session { out, received, closes_at_fetch: HashMap::new(), huge: false };
     loop {
         let mut line = String::new();
         let length = input.read_line(&mut line)?;
-        wait_while_paused(paused);
+        controls.wait_while_paused();
         if length == 0 {
             session.record("END OF CONNECTION".to_owned());
             // Shuts the socket down also for threads that are still writing responses.
@@ -27,7 +31,7 @@
         let line = line.trim_end();
         let words: Vec<&str> = line.split(' ').collect();
         let open = match words[0] {
-            "STAT" | "HELO" => session.report_load(words[1])?,
+            "STAT" | "HELO" => session.report_load(words[1], controls.health_check_delay())?,
             "FETCH" => {
                 session.record(line.to_owned());
                 session.send_page(words[1], words[2])?
@@ -71,8 +75,18 @@
         self.received.lock().unwrap().iter().filter(|line| line.contains(text)).count()
     }
 
-    fn report_load(&mut self, id: &str) -> std::io::Result<bool> {
-        write!(self.out, "{id} alive l=util:0.1;queue:0;x0:0.1;x1:0.1\r\n")?;
+    /// Answers a health check after some time, while other requests of the connection are served.
+    fn report_load(&mut self, id: &str, delay: Duration) -> std::io::Result<bool> {
+        let response = format!("{id} alive l=util:0.1;queue:0;x0:0.1;x1:0.1\r\n");
+        if delay.is_zero() {
+            self.out.write_all(response.as_bytes())?;
+            return Ok(true);
+        }
+        let mut out = self.out.try_clone()?;
+        std::thread::spawn(move || {
+            std::thread::sleep(delay);
+            out.write_all(response.as_bytes())
+        });
         Ok(true)
     }
 
--- a/tests/common/engines/mod.rs
+++ b/tests/common/engines/mod.rs
@@ -18,7 +18,7 @@
 
 use line_protocol_session::speak_line_protocol;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tds_session::speak_tds;
@@ -26,36 +26,54 @@
 /// What an engine has received, in order: lines of the line protocol, or statements and Attentions of TDS.
 pub type Received = Arc<Mutex<Vec<String>>>;
 
-/// Whether an engine is paused. A paused engine accepts connections, but does not process what it receives on them.
-pub type Paused = Arc<AtomicBool>;
+/// How an engine behaves on all its connections. Tests change it while the engine runs.
+#[derive(Debug, Default)]
+pub struct Controls {
+    /// A paused engine accepts connections, but does not process what it receives on them.
+    paused: AtomicBool,
+    /// Time after which a health check is answered, in milliseconds.
+    health_check_delay_ms: AtomicU64,
+}
 
-/// Interval at which a paused engine checks whether it is resumed.
-const RESUME_POLL: Duration = Duration::from_millis(1);
+impl Controls {
+    /// Waits while the engine is paused.
+    fn wait_while_paused(&self) {
+        while self.paused.load(Ordering::Relaxed) {
+            std::thread::sleep(RESUME_POLL);
+        }
+    }
 
-/// Waits while an engine is paused.
-fn wait_while_paused(paused: &Paused) {
-    while paused.load(Ordering::Relaxed) {
-        std::thread::sleep(RESUME_POLL);
+    fn health_check_delay(&self) -> Duration {
+        Duration::from_millis(self.health_check_delay_ms.load(Ordering::Relaxed))
     }
 }
 
+/// Interval at which a paused engine checks whether it is resumed.
+const RESUME_POLL: Duration = Duration::from_millis(1);
+
 /// A running engine.
 pub struct Engine {
     /// The address that it listens at.
     pub address: SocketAddr,
     /// What it has received.
     pub received: Received,
-    paused: Paused,
+    controls: Arc<Controls>,
 }
 
 impl Engine {
     fn new(address: SocketAddr) -> Engine {
-        Engine { address, received: Received::default(), paused: Paused::default() }
+        Engine { address, received: Received::default(), controls: Arc::default() }
     }
 
     /// Pauses or resumes the engine.
     pub fn pause(&self, paused: bool) {
-        self.paused.store(paused, Ordering::Relaxed);
+        self.controls.paused.store(paused, Ordering::Relaxed);
+    }
+
+    /// Delays the answers to health checks from now on. Other answers are sent at once.
+    pub fn delay_health_checks(&self, delay: Duration) {
+        let delay_ms = u64::try_from(delay.as_millis()).unwrap();
+        self.controls.health_check_delay_ms.store(delay_ms, Ordering::Relaxed);
     }
 
     /// The number of entries in `received` that contain a text.
@@ -64,7 +82,7 @@
     }
 }
 
-type ServeConnection = fn(TcpStream, Received, Paused);
+type ServeConnection = fn(TcpStream, Received, Arc<Controls>);
 
 fn start(serve: ServeConnection) -> Engine {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -74,24 +92,24 @@
 }
 
 fn accept_in_background(listener: TcpListener, engine: &Engine, serve: ServeConnection) {
-    let (received, paused) = (engine.received.clone(), engine.paused.clone());
-    std::thread::spawn(move || accept(&listener, &received, &paused, serve));
+    let (received, controls) = (engine.received.clone(), engine.controls.clone());
+    std::thread::spawn(move || accept(&listener, &received, &controls, serve));
 }
 
-fn accept(listener: &TcpListener, received: &Received, paused: &Paused, serve: ServeConnection) {
+fn accept(listener: &TcpListener, received: &Received, controls: &Arc<Controls>, serve: ServeConnection) {
     for stream in listener.incoming().flatten() {
-        let (received, paused) = (received.clone(), paused.clone());
-        std::thread::spawn(move || serve(stream, received, paused));
+        let (received, controls) = (received.clone(), controls.clone());
+        std::thread::spawn(move || serve(stream, received, controls));
     }
 }
 
-fn serve_line_protocol(stream: TcpStream, received: Received, paused: Paused) {
+fn serve_line_protocol(stream: TcpStream, received: Received, controls: Arc<Controls>) {
     // An error ends only this connection; the engine serves others.
-    let _ended = speak_line_protocol(stream, &received, &paused);
+    let _ended = speak_line_protocol(stream, &received, &controls);
 }
 
-fn serve_tds(stream: TcpStream, received: Received, paused: Paused) {
-    let _ended = speak_tds(stream, &received, &paused);
+fn serve_tds(stream: TcpStream, received: Received, controls: Arc<Controls>) {
+    let _ended = speak_tds(stream, &received, &controls);
 }
 
 /// An engine that does not accept connections yet: the backlog of its socket is full, so the kernel drops the first
@@ -171,17 +189,17 @@
         socket.listen(16).unwrap();
         let listener = TcpListener::from(socket);
         let engine = Engine::new(listener.local_addr().unwrap());
-        let (received, paused) = (engine.received.clone(), engine.paused.clone());
+        let (received, controls) = (engine.received.clone(), engine.controls.clone());
         let (unblock, unblocked) = std::sync::mpsc::channel();
         std::thread::spawn(move || {
             let (first, _) = listener.accept().unwrap();
-            let (received_first, paused_first) = (received.clone(), paused.clone());
+            let (received_first, controls_first) = (received.clone(), controls.clone());
             std::thread::spawn(move || {
                 if unblocked.recv() == Ok(Unblock::Read) {
-                    serve_line_protocol(first, received_first, paused_first);
+                    serve_line_protocol(first, received_first, controls_first);
                 }
             });
-            accept(&listener, &received, &paused, serve_line_protocol);
+            accept(&listener, &received, &controls, serve_line_protocol);
         });
         BlockedEngine { engine, unblock }
     }
--- a/tests/common/engines/tds_session.rs
+++ b/tests/common/engines/tds_session.rs
@@ -1,6 +1,6 @@
 //! A connection to an emulated engine with TDS.
 
-use super::{Paused, Received, wait_while_paused};
+use super::{Controls, Received};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
@@ -76,10 +76,10 @@
 }
 
 /// Serves a connection until it is closed, or a statement closes it.
-pub fn speak_tds(mut stream: TcpStream, received: &Received, paused: &Paused) -> std::io::Result<()> {
+pub fn speak_tds(mut stream: TcpStream, received: &Received, controls: &Controls) -> std::io::Result<()> {
     loop {
         let message = read_message(&mut stream);
-        wait_while_paused(paused);
+        controls.wait_while_paused();
         let message = message?;
         match message.kind {
             0x12 => respond(&mut stream, &[1, 0, 6, 0, 1, 0xff, 2], true)?,
@@ -92,7 +92,7 @@
                 respond(&mut stream, &done(0x20), true)?;
             }
             _ => {
-                if !execute(&mut stream, &statement(&message.data), received)? {
+                if !execute(&mut stream, &statement(&message.data), received, controls)? {
                     return Ok(());
                 }
             }
@@ -108,10 +108,16 @@
 }
 
 /// Executes a statement; false if it closes the connection.
-fn execute(stream: &mut TcpStream, statement: &str, received: &Received) -> std::io::Result<bool> {
+fn execute(
+    stream: &mut TcpStream,
+    statement: &str,
+    received: &Received,
+    controls: &Controls,
+) -> std::io::Result<bool> {
     let has = |word: &str| statement.contains(word);
     if has("dm_engine_load") {
         let load = [columns(&["util", "queue", "x0", "x1"]), row(&["0.1", "0", "0.1", "0.1"]), done(0x10)];
+        std::thread::sleep(controls.health_check_delay());
         respond(stream, &load.concat(), true)?;
         return Ok(true);
     }
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::engines::{self, BlockedEngine, LateEngine, Unblock};
+use common::engines::{self, BlockedEngine, Engine, LateEngine, Unblock};
 use common::{
     Program, TOKEN, dns, endpoint, read_reply, request, settings, start, start_on_platform, wait_until,
 };
@@ -242,6 +242,21 @@
     assert_eq!((reply.status, blocked.engine.count("SELECT 1")), (200, 1));
 }
 
+/// Guards against an engine that stays ejected for good, because each of its answers to a health check comes after the
+/// time-out and was dropped.
+#[rstest]
+#[case(engines::line_protocol(), json!({ "wire": "lines" }))]
+#[case(engines::tds(), json!({ "wire": "tds", "user": "u" }))]
+fn an_engine_whose_health_checks_are_answered_late_is_used(#[case] engine: Engine, #[case] wire: Value) {
+    engine.delay_health_checks(ms(400));
+    let mut settings = settings();
+    settings["allowed"]["connectTimeoutMs"] = json!(250);
+    let program = start(&[engine.address], json!({ "settings": settings, "engines": wire }));
+    std::thread::sleep(ms(4000)); // more than two health checks have timed out
+    let reply = read_reply(&mut program.send("r", "lookup", 4900, None, "SELECT ok")).unwrap();
+    assert_eq!(reply.status, 200);
+}
+
 /// Guards against attempts that are treated as lost while they are in flight, so that long requests are never served.
 /// If engines send no progress notes, their absence is no sign of a loss.
 #[rstest]
