Engine connections: what an engine sends after the close is read at a bounded rate

After the manager's close a connection is read for up to 30 s, until the engine closes it. An engine that goes on sending (a result said to hold gigabytes ends the connection as malformed, and keeps coming) was read at full speed all that time, on the one thread that serves all.

Change: after 1 MB, which is the longest result, each further 4 KB are read after a pause of 10 ms.

Test, failing before: an_engine_that_never_stops_sending_is_read_at_a_bounded_rate (64 MB in 0 s of virtual time). The close behind a result is still seen at once (the_close_behind_a_result_is_read_at_once).

--- a/src/upstream/closing.rs
+++ b/src/upstream/closing.rs
@@ -14,6 +14,10 @@
 const CLOSE_CONFIRM_TIMEOUT: Duration = Duration::from_secs(30);
 /// Size of the buffer for what an engine still sends after the manager's close. Its content is dropped.
 const DRAIN_BUFFER_BYTES: usize = 4096;
+/// What an engine may send after the manager's close before reading is paced. It is above the longest result.
+const UNPACED_DRAIN_BYTES: usize = 1 << 20;
+/// Pause before each further read, so that an engine that never stops sending uses little processor time.
+const DRAIN_PAUSE: Duration = Duration::from_millis(10);
 
 /// Whether an engine has discarded the attempts of a connection that ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,11 +92,15 @@
 
 async fn drain_to_end(reader: &mut (impl AsyncRead + Unpin)) -> DiscardStatus {
     let mut buffer = BytesMut::with_capacity(DRAIN_BUFFER_BYTES);
+    let mut drained_bytes = 0;
     loop {
         buffer.clear();
+        if drained_bytes > UNPACED_DRAIN_BYTES {
+            tokio::time::sleep(DRAIN_PAUSE).await;
+        }
         match reader.read_buf(&mut buffer).await {
             Ok(0) => return DiscardStatus::Discarded,
-            Ok(_) => {}
+            Ok(read) => drained_bytes += read,
             Err(error) if error.kind() == ErrorKind::Interrupted => {}
             Err(error) => return status_after_error(&error),
         }
@@ -106,3 +114,6 @@
         _ => DiscardStatus::Unknown,
     }
 }
+
+#[cfg(test)]
+mod tests;
