TDS clients: a message before the login may have 128 KB, not 4 MB

Each client could have 4 MB in memory before its login was known, for up to 2.8 s, on up to half of the listener's connections.

Change: the limit of a message is that of MS-TDS for LOGIN7 (128 KB - 1) until the login has succeeded, then 4 MB as before.

--- a/src/frontend/tds/connection.rs
+++ b/src/frontend/tds/connection.rs
@@ -35,7 +35,7 @@
 impl<S: AsyncRead + Unpin> MessageStream<S> {
     pub(super) fn new(stream: S) -> MessageStream<S> {
         let received = BytesMut::with_capacity(BUFFER_BYTES);
-        MessageStream { stream, received, assembler: MessageAssembler::default() }
+        MessageStream { stream, received, assembler: MessageAssembler::new(packet::MAX_LOGIN_MESSAGE_BYTES) }
     }
 
     /// Reads the next message; `None` if the client closed the connection.
@@ -118,6 +118,7 @@
     async fn open(stream: TcpStream, frontend: &'a Tds) -> io::Result<Option<Connection<'a>>> {
         let Some(mut input) = prelogin::negotiate(stream, frontend).await? else { return Ok(None) };
         let tenant = log_in(&mut input, frontend).await?;
+        input.assembler.set_max_message_bytes(packet::MAX_MESSAGE_BYTES);
         Ok(tenant.map(|tenant| Connection { input, frontend, tenant }))
     }
 
--- a/src/tds/mod.rs
+++ b/src/tds/mod.rs
@@ -24,9 +24,12 @@
     /// A packet header has an unknown message type, or a length that is shorter than the header.
     #[error("invalid TDS packet header: unknown message type, or length below the header's 8 bytes")]
     PacketHeader,
-    /// A message is longer than [`packet::MAX_MESSAGE_BYTES`].
-    #[error("TDS message exceeds the limit of {} bytes", packet::MAX_MESSAGE_BYTES)]
-    MessageTooLong,
+    /// A message is too long.
+    #[error("TDS message exceeds the limit of {max_bytes} bytes")]
+    MessageTooLong {
+        /// The maximum size.
+        max_bytes: usize,
+    },
     /// A message of this type is malformed. The text is sent to the client.
     #[error("a {0} can't be read")]
     Message(&'static str),
--- a/src/tds/packet.rs
+++ b/src/tds/packet.rs
@@ -35,6 +35,8 @@
 pub const PACKET_BYTES: usize = 4096;
 /// The maximum size of a message that is read, from a client or an engine.
 pub const MAX_MESSAGE_BYTES: usize = 4 << 20;
+/// The maximum size of a message that is read from a client before its login (MS-TDS 2.2.6.4 limits LOGIN7 to it).
+pub const MAX_LOGIN_MESSAGE_BYTES: usize = 128 * 1024 - 1;
 
 /// A complete message.
 #[derive(Debug, PartialEq, Eq)]
@@ -117,23 +119,34 @@
 }
 
 /// Assembles messages from packets.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct MessageAssembler {
+    max_message_bytes: usize,
     incomplete: Option<Message>,
 }
 
 impl MessageAssembler {
+    /// Creates an assembler of messages of at most `max_message_bytes`.
+    pub fn new(max_message_bytes: usize) -> MessageAssembler {
+        MessageAssembler { max_message_bytes, incomplete: None }
+    }
+
+    /// Changes the maximum size of messages.
+    pub fn set_max_message_bytes(&mut self, max_message_bytes: usize) {
+        self.max_message_bytes = max_message_bytes;
+    }
+
     /// Removes packets from the front of the receive buffer up to the end of the next message, and returns the message;
     /// `None` if the message is incomplete. Messages that must be ignored are skipped.
     ///
     /// # Errors
     ///
-    /// A packet header is invalid, or the message exceeds [`MAX_MESSAGE_BYTES`].
+    /// A packet header is invalid, or the message exceeds its maximum size.
     pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Message>, TdsError> {
         while let Some(packet) = next_packet(buffer)? {
             let mut message = self.message_for_packet(packet.kind);
-            if message.data.len() + packet.data.len() > MAX_MESSAGE_BYTES {
-                return Err(TdsError::MessageTooLong);
+            if message.data.len() + packet.data.len() > self.max_message_bytes {
+                return Err(TdsError::MessageTooLong { max_bytes: self.max_message_bytes });
             }
             message.data.extend_from_slice(&packet.data);
             match (packet.last, packet.ignore) {
