Delimiter search: use memchr instead of a window comparison

No change of behaviour. The search for the end of a head or line compared slices of a length that is not known at compile time, window by window, since it has a module of its own; memchr's memmem, which other dependencies bring already, is made for it.

Checked: unit tests of http and the line protocol pass (10).

--- a/src/delimiter_search.rs
+++ b/src/delimiter_search.rs
@@ -1,6 +1,8 @@
 //! Searches a receive buffer for a delimiter while bytes are appended to it. Each byte is examined once, so the cost does
 //! not depend on the number of parts in which the bytes arrive.
 
+use memchr::memmem;
+
 /// The progress of one search.
 #[derive(Debug, Default)]
 pub struct DelimiterSearch {
@@ -14,7 +16,7 @@
     pub fn find(&mut self, buffer: &[u8], delimiter: &[u8]) -> Option<usize> {
         // The delimiter may have begun in the part that was searched before.
         let start = self.searched_bytes.saturating_sub(delimiter.len() - 1);
-        let found = buffer[start..].windows(delimiter.len()).position(|window| window == delimiter);
+        let found = memmem::find(&buffer[start..], delimiter);
         self.searched_bytes = buffer.len();
         found.map(|position| start + position)
     }
