Soak: a name service that answers late and unevenly

By the seed it answers at once now, after 0 to 1 s (so that answers overtake each other), or each after 1 s. The oracle's rule on draining engines is as before: a change counts as notified after 1.5 s, which such answers allow. All other values of a seed are as before.

--- a/crates/testbed/src/name_server.rs
+++ b/crates/testbed/src/name_server.rs
@@ -1,12 +1,14 @@
 //! A DNS server on loopback (RFC 1035, RFC 2782). It serves SRV records of the engines with their addresses and TXT
 //! records, and an SOA serial that every change increments. A draining engine has priority 1, a ready one 0.
 
+use oorandom::Rand32;
 use serde::Deserialize;
 use simple_dns::rdata::{A, RData, SOA, SRV, TXT};
 use simple_dns::{CLASS, Name, Packet, PacketFlag, Question, ResourceRecord};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 use tokio::net::UdpSocket;
 
 /// Service name of the engines' SRV records.
@@ -15,6 +17,8 @@
 const ZONE: &str = "svc.local";
 /// Maximum length of a query, which is the payload of one Ethernet frame.
 const MAX_QUERY_BYTES: usize = 1500;
+/// Seed of the delays of responses.
+const DELAY_SEED: u64 = 1;
 
 /// State in which the name server lists an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
@@ -41,6 +45,22 @@
     endpoints: Vec<Endpoint>,
 }
 
+/// How long the name server takes to respond: for each query a random time from the shortest to the longest, so that
+/// responses of an uneven delay overtake each other.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ResponseDelay {
+    /// The shortest time.
+    pub shortest: Duration,
+    /// The longest time.
+    pub longest: Duration,
+}
+
+impl ResponseDelay {
+    fn sample(self, rng: &mut Rand32) -> Duration {
+        self.shortest + (self.longest - self.shortest).mul_f32(rng.rand_float())
+    }
+}
+
 /// A running name server, which stops with the runtime.
 #[derive(Debug)]
 pub struct NameServer {
@@ -51,18 +71,27 @@
 }
 
 impl NameServer {
-    /// Starts a name server that lists all engines as ready.
+    /// Starts a name server that lists all engines as ready, and responds at once.
     ///
     /// # Errors
     /// Fails if no socket can be bound.
     pub async fn start(engines: &[SocketAddr]) -> std::io::Result<NameServer> {
+        NameServer::start_slow(engines, ResponseDelay::default()).await
+    }
+
+    /// Starts a name server that lists all engines as ready, and responds late. A response has the list of the moment
+    /// in which it is sent.
+    ///
+    /// # Errors
+    /// Fails if no socket can be bound.
+    pub async fn start_slow(engines: &[SocketAddr], delay: ResponseDelay) -> std::io::Result<NameServer> {
         let socket = UdpSocket::bind("127.0.0.1:0").await?;
         let address = socket.local_addr()?;
         let endpoint = |address: &SocketAddr| Endpoint { address: *address, state: EndpointState::Ready };
         let zone = Zone { serial: 2, endpoints: engines.iter().map(endpoint).collect() };
         let zone = Arc::new(Mutex::new(zone));
         let is_silent = Arc::<AtomicBool>::default();
-        tokio::spawn(serve(socket, zone.clone(), is_silent.clone()));
+        tokio::spawn(serve(Arc::new(socket), zone.clone(), is_silent.clone(), delay));
         Ok(NameServer { address, zone, is_silent })
     }
 
@@ -81,17 +110,28 @@
     }
 }
 
-async fn serve(socket: UdpSocket, zone: Arc<Mutex<Zone>>, is_silent: Arc<AtomicBool>) {
+async fn serve(
+    socket: Arc<UdpSocket>,
+    zone: Arc<Mutex<Zone>>,
+    is_silent: Arc<AtomicBool>,
+    delay: ResponseDelay,
+) {
+    let mut rng = Rand32::new(DELAY_SEED);
     let mut buffer = [0; MAX_QUERY_BYTES];
     while let Ok((length, from)) = socket.recv_from(&mut buffer).await {
         if is_silent.load(Ordering::Relaxed) {
             continue;
         }
-        let response = zone.lock().unwrap_or_else(PoisonError::into_inner).respond(&buffer[..length]);
-        if let Some(response) = response {
-            // The resolver repeats a query whose response was lost.
-            let _ = socket.send_to(&response, from).await;
-        }
+        let (socket, zone, query) = (socket.clone(), zone.clone(), buffer[..length].to_vec());
+        let delay = delay.sample(&mut rng);
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            let response = zone.lock().unwrap_or_else(PoisonError::into_inner).respond(&query);
+            if let Some(response) = response {
+                // The resolver repeats a query whose response was lost.
+                let _ = socket.send_to(&response, from).await;
+            }
+        });
     }
 }
 
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -82,7 +82,7 @@
         engines.push(engine);
     }
     let addresses: Vec<_> = proxies.iter().map(|proxy| proxy.address).collect();
-    let name_server = NameServer::start(&addresses).await?;
+    let name_server = NameServer::start_slow(&addresses, scenario.name_service_delay).await?;
     let folder = tempfile::tempdir()?;
     let mut managers = Vec::new();
     for number in 0..scenario.managers {
--- a/crates/testbed/src/soak/scenario.rs
+++ b/crates/testbed/src/soak/scenario.rs
@@ -1,6 +1,7 @@
 //! The scenario of a seed: the numbers of managers and engines, and their settings.
 
 use super::history::Effect;
+use crate::name_server::ResponseDelay;
 use oorandom::Rand64;
 use serde_json::{Value, json};
 use std::net::{IpAddr, SocketAddr};
@@ -22,6 +23,9 @@
 /// Factors on the deadlines of all classes, one of which is sampled for each scenario.
 const DEADLINE_FACTORS: [u64; 3] = [1, 2, 3];
 const DEDUPLICATION_WINDOW_MS: u64 = 4000;
+/// Shortest and longest delays of the name service's responses, one of which is sampled for each scenario. A change of the
+/// list counts as notified 1.5 s after it happened, so a response that takes one second must be used.
+const NAME_SERVICE_DELAYS_MS: [[u64; 2]; 3] = [[0, 0], [0, 1000], [1000, 1000]];
 
 /// The number of the next scenario of this process. Each scenario has its own addresses.
 static NEXT_SCENARIO: AtomicU8 = AtomicU8::new(0);
@@ -43,6 +47,7 @@
     pub(super) engines: usize,
     pub(super) progress_interval: Option<Duration>,
     pub(super) classes: [Class; 4],
+    pub(super) name_service_delay: ResponseDelay,
     seed: u64,
     scenario_number: u8,
 }
@@ -71,7 +76,14 @@
             deadline_ms: deadline_ms * factor,
             max_work_ms,
         };
+        // Sampled from the seed alone, so that the other values of a seed are those of earlier versions.
+        let [shortest, longest] =
+            NAME_SERVICE_DELAYS_MS[(seed % NAME_SERVICE_DELAYS_MS.len() as u64) as usize];
         Scenario {
+            name_service_delay: ResponseDelay {
+                shortest: Duration::from_millis(shortest),
+                longest: Duration::from_millis(longest),
+            },
             managers: rng.rand_range(MANAGER_COUNT_RANGE[0]..MANAGER_COUNT_RANGE[1]) as usize,
             engines: rng.rand_range(ENGINE_COUNT_RANGE[0]..ENGINE_COUNT_RANGE[1]) as usize,
             progress_interval: (interval_ms > 0).then(|| Duration::from_millis(interval_ms)),
