Discovery test: nothing is received before the name service answers

The check stood in the test before it was moved to the new client (an error at the deadline), and was left out there; it is back in the client's terms.

--- a/src/discovery/tests.rs
+++ b/src/discovery/tests.rs
@@ -43,6 +43,7 @@
     let mut buffer = [0; 512];
     client.send(1).await.unwrap();
     let (_, client_address) = service.recv_from(&mut buffer).await.unwrap();
+    assert!(tokio::time::timeout(Duration::from_millis(100), client.receive()).await.is_err());
     client.send(2).await.unwrap();
     service.send_to(&serial(1, 5), client_address).await.unwrap();
     assert_eq!(client.receive().await.unwrap().response.serial, Some(5));
