--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,70 +1,113 @@
-"""A TDS engine sends one of its answers a second time, some milliseconds late."""
+"""A TDS client calls sp_executesql with a negative number as a parameter, behind a minus sign."""
 
-import json
 import os
 import re
 import sys
-import time
+import threading
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-from standins_2 import CUSTOMERS, LOOPBACK, Http, TdsEngine, free_port, hex_id, known, meaning, request_fields
-from standins_2 import run_case, settings
+from standins_2 import CUSTOMERS, LOOPBACK, LineEngine, TdsClient, free_port, hex_id, known, run_case, settings
 
-REQUESTS = 60
-# The answer, counted over all engines, that comes a second time, and how late the copy is.
-COPIED_ANSWER = 7
-COPY_DELAY_S = 0.005
+NURSERIES = ("little-oaks", "river-bank")
+WEEKS = range(20, 40)
+STATEMENT = "DELETE FROM sales_17.returns WHERE week < 30-@weeks AND nursery = @nursery"
 
 
-def tag_of(statement):
-    return re.search(r"tag = '(\w+)'", statement).group(1)
+def without_comments(statement):
+    """SQL as any engine reads it: a comment is from -- to the end of the line, or between /* and */."""
+    out, at = "", 0
+    while at < len(statement):
+        if statement.startswith("--", at):
+            end = statement.find("\n", at)
+            at = len(statement) if end < 0 else end
+        elif statement.startswith("/*", at):
+            at = statement.index("*/", at) + 2
+            out += " "
+        elif statement[at] == "'":
+            end = at + 1
+            while not (statement[end] == "'" and statement[end + 1:end + 2] != "'"):
+                end += 2 if statement[end] == "'" else 1
+            out += statement[at:end + 1]
+            at = end + 1
+        else:
+            out += statement[at]
+            at += 1
+    return " ".join(out.split())
 
 
-def body(case):
-    answers = [0]
+class Table:
+    """The table of the engine, with the little SQL that the case needs."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.rows = {(nursery, week) for nursery in NURSERIES for week in WEEKS}
 
-    def on_batch(_engine, statement):
-        time.sleep(0.02)
-        return [(tag_of(statement), str(row), "x") for row in range(3)]
+    def delete(self, statement):
+        text = without_comments(statement)
+        found = re.fullmatch(
+            r"DELETE FROM sales_17\.returns WHERE week < ([-+0-9 ]+?)(?: AND nursery = N?'([^']*)')?", text
+        )
+        if not found:
+            return None
+        total = 0
+        for sign, digits in re.findall(r"([-+]?) *((?:- *)?\d+)", found.group(1)):
+            number = int(digits.replace(" ", ""))
+            total += -number if sign == "-" else number
+        with self.lock:
+            doomed = {
+                (nursery, week) for nursery, week in self.rows
+                if week < total and found.group(2) in (None, nursery)
+            }
+            self.rows -= doomed
+        return doomed
 
-    def after(engine, write, response, statement):
-        answers[0] += 1
-        if case.trouble and answers[0] == COPIED_ANSWER:
-            time.sleep(COPY_DELAY_S)
-            engine.log(f"second copy of the answer to {tag_of(statement)}")
-            write(response)
 
-    engines = [TdsEngine(f"engine-{number}", on_batch, after, case.record) for number in range(3)]
-    port = free_port()
+def body(case):
+    table = Table()
+
+    def on_request(connection, identifier, _fields, statement):
+        doomed = table.delete(statement)
+        engine = connection.engine
+        engine.log(f"runs {without_comments(statement)!r} of {statement!r}")
+        if doomed is None:
+            engine.log("syntax error")
+            engine.refuse(connection, identifier, "500")
+            return
+        engine.log(f"deleted {len(doomed)} rows: {sorted(doomed)}")
+        engine.serve_result(connection, identifier, [(str(len(doomed)), "", "")])
+
+    engines = [LineEngine(f"engine-{number}", on_request, case.record) for number in range(2)]
+    port, tds_port = free_port(), free_port()
     config = {
         "name": "n1", "listen": f"{LOOPBACK}:{port}", "limits": {"sockets": 512},
-        "engines": {"wire": "tds", "user": "sanddyke", "database": "master"},
+        "tds": {"listen": f"{LOOPBACK}:{tds_port}"}, "engines": {"wire": "lines"},
         "known": known([(engine.name, engine.port) for engine in engines]), "settings": settings(),
     }
     case.start_manager(config, platform=False)
 
-    served, wrong = 0, []
-    tenants = [tenant["name"] for tenant in CUSTOMERS]
-    owners = {}
-    clients = [Http(LOOPBACK, port) for _ in tenants]
-    for number in range(REQUESTS):
-        tenant, client = tenants[number % 2], clients[number % 2]
-        tag = hex_id(12)
-        owners[tag] = tenant
-        statement = f"SELECT tag, row, note FROM sales_17.orders WHERE tag = '{tag}'"
-        status, _, text = client.call("POST", "/do/lookup", request_fields(tenant, 5000), statement.encode())
-        case.record.write(f"client of {tenant} asked for {tag}: {status} {text.decode()}")
-        if meaning(status, text) == "served":
-            served += 1
-            rows = json.loads(text)["result"]
-            if rows != [[tag, str(row), "x"] for row in range(3)]:
-                got = rows[0][0] if rows else "nothing"
-                wrong.append((tenant, owners.get(got, "nobody")))
-        time.sleep(0.02)
-    foreign = sum(1 for asked, owner in wrong if asked != owner)
+    weeks = -1 if case.trouble else 1
+    client = TdsClient(tds_port, CUSTOMERS[0]["name"])
+    hints = f"/*class='load',ttl_ms='25000',key='{hex_id(32)}'*/ "
+    parameters = [("@weeks", "int", weeks), ("@nursery", "nvarchar(40)", NURSERIES[0])]
+    case.record.write(f"client calls sp_executesql: {STATEMENT!r} with {parameters}")
+    rows, errors, done = client.call(hints + STATEMENT, parameters)
+    case.record.write(f"client got rows {rows}, errors {errors}, done {done}")
+
+    limit = 30 - weeks
+    expected = {
+        (nursery, week) for nursery in NURSERIES for week in WEEKS if not (nursery == NURSERIES[0] and week < limit)
+    }
+    before = {(nursery, week) for nursery in NURSERIES for week in WEEKS}
+    served = bool(rows) and not errors
+    lost = sorted(expected - table.rows)
+    kept = sorted(table.rows - expected)
+    case.record.write(f"rows deleted that the client did not name: {lost}; rows kept that it named: {kept}")
+    # A call that failed without an effect would have kept the rule.
+    broken = table.rows != expected if served else table.rows not in (expected, before)
     case.end(
-        bool(wrong),
-        f"{len(wrong)} of {served} served answers had the rows of another request, {foreign} of them another tenant's",
+        broken,
+        f"answered {'served' if served else 'failed'}; {len(lost)} rows of another nursery are deleted, "
+        f"{len(kept)} rows that the call names are not",
     )
 
 
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -337,15 +337,15 @@
         self.file = self.socket.makefile("rb")
         options = bytes([0, 0, 11, 0, 6, 1, 0, 17, 0, 1, 0xFF]) + bytes([16, 0, 0, 0, 0, 0, 2])
         self.socket.sendall(tds_message(0x12, options))
-        TdsEngine.message(self.file)
+        tds_receive(self.file)
         self.socket.sendall(tds_message(0x10, tds_login("portal", "secret", database)))
-        tokens = tds_tokens(TdsEngine.message(self.file)[1])
+        tokens = tds_tokens(tds_receive(self.file)[1])
         if not any(kind == "loginack" for kind, _ in tokens):
             raise Unable(f"the TDS login was denied: {tokens}")
 
     def read(self):
         """Returns (rows, errors, done statuses) of the next message."""
-        kind, data = TdsEngine.message(self.file)
+        kind, data = tds_receive(self.file)
         if kind is None:
             raise Lost("closed")
         tokens = tds_tokens(data)
@@ -596,7 +596,7 @@
             connection.answer(identifier, word)
 
 
-# --- engines that speak TDS -------------------------------------------------------------------------------------------
+# --- messages of TDS -------------------------------------------------------------------------------------------
 
 
 def utf16(text):
@@ -617,98 +617,14 @@
     return out
 
 
-def tds_done(status=0, rows=0):
-    return struct.pack("<BHHQ", 0xFD, status, 0xC1, rows)
-
-
-def tds_info(number, text):
-    data = struct.pack("<IBBH", number, 1, 0, len(text)) + utf16(text) + b_varchar("engine") + b_varchar("") + bytes(4)
-    return struct.pack("<BH", 0xAB, len(data)) + data
-
-
-def tds_table(columns, rows):
-    out = struct.pack("<BH", 0x81, len(columns))
-    for name in columns:
-        out += struct.pack("<IHBH", 0, 9, 0xE7, 8000) + bytes([9, 4, 0xD0, 0, 0x34]) + b_varchar(name)
-    for row in rows:
-        out += b"\xd1"
-        for cell in row:
-            data = utf16(cell)
-            out += struct.pack("<H", len(data)) + data
-    return out + tds_done(0x10, len(rows))
-
-
-class TdsEngine:
-    """An engine that speaks TDS, one request at a time on a connection. `on_batch(engine, statement)` returns the rows
-    of the answer; `after(engine, write, response, statement)` is called once the answer is written."""
-
-    def __init__(self, name, on_batch, after=None, record=None):
-        self.name = name
-        self.on_batch = on_batch
-        self.after = after
-        self.record = record
-        self.listener = socket.socket()
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind((LOOPBACK, 0))
-        self.listener.listen(256)
-        self.port = self.listener.getsockname()[1]
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def log(self, text):
-        if self.record:
-            self.record.write(f"engine {self.name}: {text}")
-
-    def accept(self):
-        while True:
-            try:
-                stream, _ = self.listener.accept()
-            except OSError:
-                return
-            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            threading.Thread(target=self.serve, args=(stream,), daemon=True).start()
-
-    @staticmethod
-    def message(file):
-        kind, data = None, b""
-        while True:
-            header = file.read(8)
-            if len(header) < 8:
-                return None, b""
-            kind, status, length = struct.unpack(">BBH", header[:4])
-            data += file.read(length - 8)
-            if status & 1:
-                return kind, data
-
-    def serve(self, stream):
-        file = stream.makefile("rb")
-        try:
-            while True:
-                kind, data = self.message(file)
-                if kind is None:
-                    break
-                if kind == 0x12:
-                    options = bytes([0, 0, 11, 0, 6, 1, 0, 17, 0, 1, 0xFF]) + bytes([16, 0, 0, 0, 0, 0, 2])
-                    stream.sendall(tds_message(4, options))
-                elif kind == 0x10:
-                    ack = b"\x01" + bytes([0x74, 0, 0, 4]) + b_varchar("engine") + bytes([16, 0, 0, 0])
-                    stream.sendall(tds_message(4, struct.pack("<BH", 0xAD, len(ack)) + ack + tds_done()))
-                elif kind == 0x06:
-                    stream.sendall(tds_message(4, tds_done(0x20)))
-                elif kind == 0x01:
-                    headers = struct.unpack("<I", data[:4])[0]
-                    statement = data[headers:].decode("utf-16-le")
-                    if statement.startswith("/*probe="):
-                        table = tds_table(["util", "queue", "x0", "x1"], [("0.1", "0", "0.1", "0.1")])
-                        stream.sendall(tds_message(4, table))
-                        continue
-                    self.log(f"batch {statement!r}")
-                    rows = self.on_batch(self, statement)
-                    response = tds_message(4, tds_info(50100, "toil=100 room=50") + tds_table(["a", "b", "c"], rows))
-                    stream.sendall(response)
-                    if self.after:
-                        self.after(self, stream.sendall, response, statement)
-                else:
-                    break
-        except (OSError, ValueError):
-            pass
-        stream.close()
+def tds_receive(file):
+    """Reads the next TDS message; returns its kind, None at the end of the connection, and its data."""
+    kind, data = None, b""
+    while True:
+        header = file.read(8)
+        if len(header) < 8:
+            return None, b""
+        kind, status, length = struct.unpack(">BBH", header[:4])
+        data += file.read(length - 8)
+        if status & 1:
+            return kind, data
