--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,128 +1,95 @@
-"""A TDS client cancels its report 0.1 s after it sent it, while the network holds its bytes back for 0.3 s."""
+"""A planned restart falls between two pages of a result: SIGTERM comes while the request runs."""
 
+import json
 import os
-import socket
+import signal
 import sys
-import threading
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-from standins_2 import CUSTOMERS, LOOPBACK, LineEngine, Lost, TdsClient, free_port, known, run_case, settings
-from standins_2 import tds_headers, tds_message, utf16
+from standins_2 import CUSTOMERS, LOOPBACK, Http, LineEngine, Lost, free_port, known, request_fields, run_case, settings
 
-WORK_S = 3.0
-CANCEL_AFTER_S = 0.1
-STALL_S = 0.3
-DONE_ATTN = 0x20
-
-
-class Network:
-    """A proxy in front of the TDS address. During a stall, what the client sends waits here; it goes on, unchanged
-    and in order, when the stall is over."""
-
-    def __init__(self, target, record):
-        self.target = target
-        self.record = record
-        self.free = threading.Event()
-        self.free.set()
-        self.listener = socket.socket()
-        self.listener.bind((LOOPBACK, 0))
-        self.listener.listen(8)
-        self.port = self.listener.getsockname()[1]
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def stall(self, seconds):
-        self.free.clear()
-        threading.Timer(seconds, self.free.set).start()
-
-    def accept(self):
-        while True:
-            client, _ = self.listener.accept()
-            server = socket.create_connection((LOOPBACK, self.target))
-            for stream in (client, server):
-                stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            threading.Thread(target=self.to_server, args=(client, server), daemon=True).start()
-            threading.Thread(target=self.to_client, args=(server, client), daemon=True).start()
-
-    def to_server(self, client, server):
-        try:
-            while True:
-                data = client.recv(65536)
-                while data and not self.free.is_set():
-                    self.free.wait()
-                    client.setblocking(False)
-                    try:
-                        data += client.recv(65536)
-                    except BlockingIOError:
-                        pass
-                    client.setblocking(True)
-                if not data:
-                    break
-                self.record.write(f"network: {len(data)} bytes go on to the manager")
-                server.sendall(data)
-        except OSError:
-            pass
-        server.close()
-
-    def to_client(self, server, client):
-        try:
-            while data := server.recv(65536):
-                client.sendall(data)
-        except OSError:
-            pass
-        client.close()
+# 1,400 rows of 34 bytes: 47,600 bytes, within the 48,000 that a result may have.
+ROWS = [(f"{number:05d}", "places", "x" * 20) for number in range(1400)]
+WORK_S = 1.2
+SIGTERM_AFTER_S = 0.2
+# How often the client makes a call again whose connection ended with no answer.
+CALLS = 3
+# SIGKILL comes after the longest deadline, counted as 3 s where it is longer, and 0.7 s more.
+SIGKILL_AFTER_S = 3.7
 
 
 def body(case):
-    begun, stopped, finished = [], [], []
-
     def on_request(connection, identifier, _fields, _statement):
-        begun.append(time.monotonic())
-        if connection.running[identifier].wait(WORK_S):
-            stopped.append(time.monotonic())
-            connection.engine.log("stops the report")
-            return
-        finished.append(time.monotonic())
-        connection.engine.log("finishes the report")
-        connection.engine.serve_result(connection, identifier, [("a", "b", "c")])
+        if not connection.running[identifier].wait(WORK_S):
+            connection.engine.serve_result(connection, identifier, ROWS)
 
     engines = [LineEngine(f"engine-{number}", on_request, case.record, work_s=WORK_S) for number in range(2)]
-    port, tds_port = free_port(), free_port()
+    port = free_port()
     config = {
-        "name": "n1", "listen": f"{LOOPBACK}:{port}", "limits": {"sockets": 512},
-        "tds": {"listen": f"{LOOPBACK}:{tds_port}"}, "engines": {"wire": "lines"},
-        "known": known([(engine.name, engine.port) for engine in engines]), "settings": settings(),
+        "name": "n1", "listen": f"{LOOPBACK}:{port}", "limits": {"sockets": 512}, "page_bytes": 16384,
+        "engines": {"wire": "lines"}, "known": known([(engine.name, engine.port) for engine in engines]),
+        "settings": settings(),
     }
-    case.start_manager(config, platform=False)
+    manager = case.start_manager(config, platform=False)
 
-    network = Network(tds_port, case.record)
-    client = TdsClient(network.port, CUSTOMERS[0]["name"])
-    statement = "/*class='report',ttl_ms='20000'*/ SELECT a, b, c FROM sales_17.orders"
+    client = Http(LOOPBACK, port)
+    client.send("POST", "/do/report", request_fields(CUSTOMERS[0]["name"], 20000), b"SELECT a, b, c FROM sales_17.orders")
+    case.record.write("client sent its request")
+    time.sleep(SIGTERM_AFTER_S)
+    terminated = time.monotonic()
     if case.trouble:
-        network.stall(STALL_S)
-    client.socket.sendall(tds_message(0x01, tds_headers() + utf16(statement)))
-    case.record.write("client sent the report")
-    time.sleep(CANCEL_AFTER_S)
-    client.socket.sendall(tds_message(0x06, b""))
-    cancelled = time.monotonic()
-    case.record.write("client sent the Attention")
-    client.socket.settimeout(8)
-    answers = []
-    try:
-        while not answers or not any(status & DONE_ATTN for status in answers[-1][2]):
-            answers.append(client.read())
-            late_ms = (time.monotonic() - cancelled) * 1000
-            case.record.write(f"client got, {late_ms:.0f} ms after its cancel: {answers[-1]}")
-    except (Lost, OSError) as error:
-        case.record.write(f"client got no more: {error}")
-    time.sleep(0.3)
-    ends = [at - cancelled for at in finished + stopped]
-    work = "ran to its end" if finished else "was stopped" if stopped else "was never begun"
-    case.end(
-        bool(finished) or len(answers) != 1,
-        f"the cancelled report {work}{f', {max(ends) * 1000:.0f} ms after the cancel' if ends else ''}; "
-        f"the client got {len(answers)} answers",
-    )
+        manager.send_signal(signal.SIGTERM)
+        case.record.write("platform: SIGTERM")
+
+    got, path, ended = [], None, None
+    while ended is None:
+        try:
+            if path is None:
+                status, fields, text = client.read()
+            else:
+                status, fields, text = client.call("GET", path)
+        except (Lost, OSError) as error:
+            client = None
+            for _ in range(CALLS):
+                try:
+                    client = Http(LOOPBACK, port)
+                    break
+                except OSError as refused:
+                    error = refused
+                    time.sleep(0.02)
+            if client is None or path is None:
+                ended = f"{path or 'the request'} had no answer: {error}"
+            case.record.write(f"client: {path}: {error}")
+            continue
+        value = json.loads(text)
+        got += value.get("result", [])
+        case.record.write(
+            f"client: {path or 'POST'}: {status}, {len(value.get('result', []))} rows, more: {value.get('more')}, "
+            f"connection: {fields.get('connection')}"
+        )
+        path = value.get("more")
+        if status != 200 or "fault" in value:
+            ended = f"{status} {text.decode()}"
+        elif path is None:
+            ended = "the last page came"
+        elif fields.get("connection") == "close":
+            client.close()
+            client = None
+            for _ in range(CALLS):
+                try:
+                    client = Http(LOOPBACK, port)
+                    break
+                except OSError as error:
+                    case.record.write(f"client: {path}: {error}")
+                    ended = f"{path} had no answer: {error}"
+                    time.sleep(0.02)
+            if client is not None:
+                ended = None
+    passed = time.monotonic() - terminated
+    case.record.write(f"{passed * 1000:.0f} ms after SIGTERM; SIGKILL would come at {SIGKILL_AFTER_S * 1000:.0f} ms")
+    whole = got == [list(row) for row in ROWS]
+    case.end(not whole, f"the client has {len(got)} of {len(ROWS)} rows; {ended}")
 
 
 run_case(os.path.dirname(os.path.abspath(__file__)), body)
