--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -67,6 +67,10 @@
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.temporary = tempfile.mkdtemp(prefix="sanddyke-review-")
         self.children = []
+        # Held while a process is started, and from the end of the case on, so that none is missed at the end.
+        self.starting = threading.RLock()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, self.on_signal)
         if not os.path.exists(PROGRAM):
             self.finish(2, "target/release/sanddyke is not built")
         # The case ends in any event before its limit of 120 s.
@@ -95,12 +99,13 @@
         log_path = os.path.join(folder, "log")
         log = open(log_path, "wb")
         command = deploy_command()
-        process = subprocess.Popen(
-            ["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log
-        )
+        with self.starting:
+            process = subprocess.Popen(
+                ["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+            self.children.append(process)
         process.log_path = log_path
         process.config_path = path
-        self.children.append(process)
         self.record.write(f"manager {name}: started as process {process.pid} by: {command}")
         host, port = config["listen"].rsplit(":", 1)
         deadline = time.monotonic() + 20
@@ -125,7 +130,12 @@
         """Ends the case: `broken` says whether the rule was broken."""
         self.finish(1 if broken else 0, why)
 
+    def on_signal(self, number, _frame):
+        """The script is told to end. The end is a thread's work: the main thread may hold a lock that it needs."""
+        threading.Thread(target=self.finish, args=(2, f"ended by signal {number}"), daemon=True).start()
+
     def finish(self, code, why):
+        self.starting.acquire()  # until the process ends
         verdict = {0: "HELD", 1: "BROKEN", 2: "COULD NOT RUN"}[code]
         self.record.write(f"{verdict}: {why}")
         print(f"{os.path.basename(self.folder)}: {verdict}: {why}", flush=True)
