SQL lexer: a parameter sign within a name is no parameter

What callers could see: in '[a]]@p]', 'price@p', '#@p' and '@@p' the value of @p was put into a name, where its text could end the name and begin another statement.

Cause: the lexer ended a name in brackets at the first ']' of a doubled one, did not count '@' and '#' among the characters of a name, and took a system variable for a parameter.

Change: names are read as SQL Server reads regular and quoted identifiers. Cost stays proportional to the length (unit '[a]] ' added to that test). The test of text without an end had the row '-é@é@-', which is one name by these rules: it is replaced by rows that check more (the name, and the same characters with blanks).

--- a/src/sql.rs
+++ b/src/sql.rs
@@ -43,10 +43,15 @@
     }
 }
 
-fn is_name_char(c: char) -> bool {
+fn is_number_char(c: char) -> bool {
     c.is_alphanumeric() || c == '_' || c == '$'
 }
 
+/// Whether a character belongs to the identifier before it. A parameter sign within a name begins no parameter.
+fn is_name_char(c: char) -> bool {
+    is_number_char(c) || c == '@' || c == '#'
+}
+
 /// The tokens of a statement, in order. Iteration reads each byte once, so its cost is proportional to the length of
 /// the statement, whatever the statement contains.
 #[derive(Debug, Clone)]
@@ -110,14 +115,29 @@
         self.take(self.rest.len())
     }
 
-    /// Reads a name in brackets; `None` if the bracket is not closed.
+    /// Reads a name in brackets; `None` if no bracket closes one. Within the name, a doubled closing bracket stands for a
+    /// single one. A name with doubled closing brackets only extends to the end of the statement.
     fn bracketed(&mut self) -> Option<&'a str> {
         if self.rest_at_last_bracket.is_none_or(|rest| self.rest.len() <= rest) {
             return None;
         }
-        let end = self.rest.find(']')?;
-        let text = self.take(end + 1);
-        Some(&text[1..end])
+        let mut end = 1;
+        while let Some(position) = self.rest[end..].find(']') {
+            let after_bracket = end + position + 1;
+            if !self.rest[after_bracket..].starts_with(']') {
+                let text = self.take(after_bracket);
+                return Some(&text[1..after_bracket - 1]);
+            }
+            end = after_bracket + 1;
+        }
+        let text = self.take(self.rest.len());
+        Some(&text[1..])
+    }
+
+    /// Reads the characters of a number, or of a name that begins with a digit.
+    fn number(&mut self) -> &'a str {
+        let length = self.rest.find(|c| !is_number_char(c));
+        self.take(length.unwrap_or(self.rest.len()))
     }
 
     /// Reads name characters after the first `prefix` bytes of the rest.
@@ -153,8 +173,11 @@
                 Some(name) => Token::Name(name),
                 None => Token::Other(self.take(first.len_utf8())),
             },
+            // A system variable, such as `@@ROWCOUNT`.
+            ('@', Some('@')) => Token::Name(self.name(0)),
             ('@', Some(c)) if is_name_char(c) => Token::Parameter(self.name(first.len_utf8())),
-            _ if is_name_char(first) => Token::Name(self.name(0)),
+            _ if first.is_numeric() => Token::Name(self.number()),
+            _ if is_name_char(first) && first != '@' => Token::Name(self.name(0)),
             _ => Token::Other(self.take(first.len_utf8())),
         })
     }
--- a/src/sql/binding/tests.rs
+++ b/src/sql/binding/tests.rs
@@ -80,3 +80,15 @@
     assert_eq!(FiniteFloat::new(f64::NAN), None);
     assert_eq!(FiniteFloat::new(f64::NEG_INFINITY), None);
 }
+
+/// Guards against a value that becomes a part of a name, and there could end it and begin another statement.
+#[test]
+fn a_parameter_sign_within_a_name_is_no_parameter() {
+    let value = || Literal::Text("]; DROP TABLE x --".to_owned());
+    for statement in ["[a]]@a]", "[a]]]]@a ]", "\"a\"\"@a\"", "price@a", "#@a", "@@a", "@a@a", "@a#"] {
+        assert_eq!(bind_a(statement, value()), statement);
+    }
+    assert_eq!(bind_a("[a]]]=@a", Literal::Integer(5)), "[a]]]=5");
+    assert_eq!(bind_a("1e+@a", Literal::Integer(5)), "1e+ 5", "not the number 1e5");
+    assert_eq!(bind_a("@a.5", Literal::Integer(5)), "5 .5", "not the number 5.5");
+}
--- a/src/sql/tests.rs
+++ b/src/sql/tests.rs
@@ -46,9 +46,10 @@
 /// without an end was searched for an end up to the end of the statement.
 #[test]
 fn the_cost_of_lexing_grows_in_proportion_to_the_length() {
-    for unit in
-        ["[", "[a] [", "'", "\"", "''a", "/*", "*/", "/*/", "--", "-", "@", "@a", "a.", "a_1", ".", "é"]
-    {
+    for unit in [
+        "[", "[a] [", "[a]] ", "'", "\"", "''a", "/*", "*/", "/*/", "--", "-", "@", "@a", "a.", "a_1", ".",
+        "é",
+    ] {
         let ratio = lexing_cost_ratio(unit);
         assert!(ratio < MAX_COST_RATIO, "{unit:?}: {ratio}");
     }
@@ -76,15 +77,22 @@
         ("[a][", vec![Token::Name("a"), Token::Other("[")]),
         ("[[a]b]", vec![Token::Name("[a"), Token::Name("b"), Token::Other("]")]),
         (
-            "-é@é@-",
+            "-é @é.@-",
             vec![
                 Token::Other("-"),
                 Token::Name("é"),
+                Token::Other(" "),
                 Token::Parameter("@é"),
+                Token::Other("."),
                 Token::Other("@"),
                 Token::Other("-"),
             ],
         ),
+        ("-é@é@-", vec![Token::Other("-"), Token::Name("é@é@"), Token::Other("-")]),
+        ("1@é#-", vec![Token::Name("1"), Token::Parameter("@é#"), Token::Other("-")]),
+        ("@@a #b", vec![Token::Name("@@a"), Token::Other(" "), Token::Name("#b")]),
+        ("[a]]b]]]c", vec![Token::Name("a]]b]]"), Token::Name("c")]),
+        ("[a]]b", vec![Token::Name("a]]b")]),
     ];
     for (statement, expected) in expected {
         let found: Vec<Token> = tokens(statement).collect();
