TDS calls: a backslash before a line's end stays in a text

Cause: SQL Server reads a backslash directly before a line's end within a string as a continuation and removes both, so the engine would have got another text than the client sent.

Change: such a literal is written as a sum of two strings, in brackets.

Evidence: text_keeps_its_characters failed before and passes.

--- a/src/sql/binding/tests.rs
+++ b/src/sql/binding/tests.rs
@@ -92,3 +92,14 @@
     assert_eq!(bind_a("1e+@a", Literal::Integer(5)), "1e+ 5", "not the number 1e5");
     assert_eq!(bind_a("@a.5", Literal::Integer(5)), "5 .5", "not the number 5.5");
 }
+
+/// Guards against text that an engine reads as another one: text in quotation marks directly behind it was joined to it,
+/// and a backslash before a line's end is removed with the line's end.
+#[test]
+fn text_keeps_its_characters() {
+    let text = |text: &str| Literal::Text(text.to_owned());
+    assert_eq!(bind_a("@a'y'", text("x")), "N'x' 'y'");
+    assert_eq!(bind_a("= @a", text("it's \\ \n -- /*")), "= N'it''s \\ \n -- /*'");
+    assert_eq!(bind_a("= @a", text("a\\\nb")), "= (N'a\\'+N'\nb')");
+    assert_eq!(bind_a("= @a", text("\\\r\n'\\\n")), "= (N'\\'+N'\r\n''\\'+N'\n')");
+}
--- a/src/sql/literal.rs
+++ b/src/sql/literal.rs
@@ -75,6 +75,13 @@
     }
 }
 
+/// Returns the literal of a text. A backslash directly before a line's end is separated from it, because SQL Server
+/// removes both from a string.
 fn text_literal(text: &str) -> String {
-    format!("N'{}'", text.replace('\'', "''"))
+    let escaped = text.replace('\'', "''");
+    if !["\\\n", "\\\r\n"].iter().any(|continuation| escaped.contains(continuation)) {
+        return format!("N'{escaped}'");
+    }
+    let separated = escaped.replace("\\\n", "\\'+N'\n").replace("\\\r\n", "\\'+N'\r\n");
+    format!("(N'{separated}')")
 }
