Ids and keys: those that would end or nest a TDS engine's comment are rejected

What callers could see: with TDS engines, the key a'*/DROP/**/TABLE/**/x;/* ended the comment in which an engine gets id, class and key, and its text was executed; a/*b made a comment of the whole statement.

Cause: is_sendable_identifier checked the separators of the line protocol only.

Change: a quotation mark and comment marks are not allowed in a client request id or idempotency key, on either engine protocol; the request is answered 400 (TDS 50011) and reaches no engine.

Evidence: a_key_that_would_change_the_statement_is_rejected, four cases, answered 200 before and 400 now; a key with +, /, - and . is passed on as before.

--- a/src/core/validation.rs
+++ b/src/core/validation.rs
@@ -38,10 +38,15 @@
 }
 
 /// Returns whether this text can be sent to engines as a client request id or idempotency key. Commas and equals
-/// signs are separators on the wire.
+/// signs are separators on the line protocol. To TDS engines it is sent in quotation marks within an SQL comment, which
+/// it must neither end nor nest.
 fn is_sendable_identifier(text: &str) -> bool {
-    let is_sendable = |c: char| c.is_ascii_graphic() && c != ',' && c != '=';
-    !text.is_empty() && text.len() <= MAX_IDENTIFIER_BYTES && text.chars().all(is_sendable)
+    let is_sendable = |c: char| c.is_ascii_graphic() && !matches!(c, ',' | '=' | '\'');
+    let has_comment_mark = text.contains("/*") || text.contains("*/");
+    !text.is_empty()
+        && text.len() <= MAX_IDENTIFIER_BYTES
+        && text.chars().all(is_sendable)
+        && !has_comment_mark
 }
 
 impl Core {
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -325,6 +325,25 @@
     assert_eq!(engine.count("REQ"), requests);
 }
 
+/// Guards against an idempotency key that ends the comment in which a TDS engine gets it, or opens another one there, so
+/// that the engine executes a part of the key, or not all of the statement.
+#[rstest]
+#[case("a'*/DROP/**/TABLE/**/x;/*")]
+#[case("a/*b")]
+#[case("a*/b")]
+#[case("a'b")]
+fn a_key_that_would_change_the_statement_is_rejected(#[case] key: &str) {
+    let (program, engine) = service(Wire::Tds);
+    let fields =
+        [("X-Txn", "00000000000000aa"), ("X-Ttl-Ms", "4000"), ("X-Merchant", "acme"), ("X-Txn-Key", key)];
+    let reply = program.call("POST", "/do/load", &fields, "INSERT ok");
+    assert_eq!((reply.status, reply.json()["fault"].as_str()), (400, Some("Unusable")));
+    assert_eq!(engine.count("INSERT"), 0);
+    let usual = program.send("b", "load", 4000, Some("A+b/c-1._~"), "INSERT ok");
+    assert_eq!(read_reply(&mut { usual }).unwrap().status, 200);
+    assert_eq!(engine.count(",key='A+b/c-1._~'*/ INSERT ok"), 1);
+}
+
 #[tokio::test]
 async fn a_login_is_authenticated_by_ldap_and_mapped_to_the_tenant_of_its_entry() {
     let engine = engines::line_protocol();
