LDAP: test that a user name is only a value in the bind name and the filter

Ruled out: names such as *, a)(uid=* and a,dc=y were escaped before. The two texts are built by functions of their own, so that the test sees them; what is sent is as before.

--- a/src/tenant_directory/mod.rs
+++ b/src/tenant_directory/mod.rs
@@ -139,14 +139,23 @@
         }
     }
 
+    /// Returns the name that a user binds with.
+    fn bind_dn_of(&self, user: &str) -> String {
+        self.bind_dn.replace("{user}", &dn_escape(user))
+    }
+
+    /// Returns the filter that a user's entry fits.
+    fn filter_of(&self, user: &str) -> String {
+        self.filter.replace("{user}", &ldap_escape(user))
+    }
+
     /// Binds as the user and searches for the user's entries.
     async fn find_entries(&self, user: &str, password: &str) -> Result<Vec<SearchEntry>, LdapError> {
         let settings = LdapConnSettings::new().set_conn_timeout(LDAP_TIMEOUT);
         let (connection, mut ldap) = LdapConnAsync::with_settings(settings, &self.url).await?;
         ldap3::drive!(connection);
-        let bind_dn = self.bind_dn.replace("{user}", &dn_escape(user));
-        ldap.simple_bind(&bind_dn, password).await?.success()?;
-        let filter = self.filter.replace("{user}", &ldap_escape(user));
+        ldap.simple_bind(&self.bind_dn_of(user), password).await?.success()?;
+        let filter = self.filter_of(user);
         let attributes = vec![self.tenant_attribute.as_str()];
         let (found, _) = ldap.search(&self.base, Scope::Subtree, &filter, attributes).await?.success()?;
         ldap.unbind().await?;
@@ -158,3 +167,6 @@
     let source = std::io::Error::from(std::io::ErrorKind::TimedOut);
     LdapError::Io { source }
 }
+
+#[cfg(test)]
+mod tests;
