Log: text of engines and directories is one line of limited length

Seen by reading: the message of a TDS engine's error or login rejection, and of a directory, was logged as it came, so a line's end in it began what looked like another line of the log, and its length had no bound but the packet's.

--- a/src/frontend/tds/connection.rs
+++ b/src/frontend/tds/connection.rs
@@ -3,6 +3,7 @@
 use super::tls::Stream;
 use super::{Tds, error_number, prelogin};
 use crate::frontend::ConnectionPermit;
+use crate::log_text::single_line;
 use crate::tds::packet::{self, Message, MessageAssembler};
 use crate::tds::token::{self, ResponseKind};
 use crate::tds::{TdsError, login};
@@ -97,7 +98,7 @@
             Ok(Some(tenant))
         }
         Err(error) => {
-            log::info!("TDS: login denied: {error}");
+            log::info!("TDS: login denied: {}", single_line(&error.to_string()));
             let number = error_number::LOGIN_FAILED;
             let response = token::error(ResponseKind::Batch, number, LOGIN_SEVERITY, "Login failed.");
             input.respond(&response).await?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod discovery;
 pub mod frontend;
 pub mod lifecycle;
+mod log_text;
 pub mod operations_endpoint;
 pub mod service;
 pub mod settings;
--- a/src/upstream/tds/connection.rs
+++ b/src/upstream/tds/connection.rs
@@ -6,6 +6,7 @@
 use crate::core::AttemptId;
 use crate::core::{AttemptEvent, Call, ConnectionEnd, Row, Table};
 use crate::decision::{LoadReport, ProgressNote, Usage};
+use crate::log_text::single_line;
 use crate::service::ServiceEnded;
 use crate::tds::packet;
 use crate::tds::token::{self, Token};
@@ -268,7 +269,7 @@
             Token::Error { number, text } => {
                 log::debug!(
                     engine = self.context.engine, request:% = self.id;
-                    "TDS engine sent error {number}: {text}"
+                    "TDS engine sent error {number}: {}", single_line(&text)
                 );
                 self.error.get_or_insert(number);
             }
--- a/src/upstream/tds/session.rs
+++ b/src/upstream/tds/session.rs
@@ -3,6 +3,7 @@
 use super::Login;
 use crate::clock::Micros;
 use crate::core::ConnectionEnd;
+use crate::log_text::single_line;
 use crate::tds::token::{self, Column, Token, TokenExtent};
 use crate::tds::{login, packet};
 use crate::upstream::{connect_failure, io_failure};
@@ -67,7 +68,7 @@
             match self.next_token().await? {
                 Token::LoginAck => acknowledged = true,
                 Token::Error { number, text } => {
-                    log::error!("TDS engine rejected the login: error {number}: {text}")
+                    log::error!("TDS engine rejected the login: error {number}: {}", single_line(&text))
                 }
                 Token::Done { more: false, .. } if acknowledged => return Ok(()),
                 Token::Done { more: false, .. } => return Err(ConnectionEnd::ConnectTimeout),
