Planned restart: pages of a result are delivered before the process ends

Cause: what the end of the process waits for is counted by requests and connections; a result of which pages are still to be fetched is neither. Related: the connection was closed behind the page, also in a drain and a handover, where a new connection reaches another process; unread results were evicted by newer ones; a process could end while a last response lay before unread input, which resets the connection.

Change: undelivered results are counted (LifecycleHandle::track_result) until the last page is sent, the client deletes the result, or its time is over. Until then the connection stays open behind a page in every phase, the listener of an exclusive socket stays open (new requests are rejected from 0.8 s on, as before), and the shutdown waits, within its bound. A result is never evicted before its end: without room for it, and in a process that is handed over, it goes out in one response. A lingering close counts as an open connection.

--- a/src/frontend/http/connection.rs
+++ b/src/frontend/http/connection.rs
@@ -1,14 +1,14 @@
 //! Serves one connection of a client, one request after another.
 
 use super::Http;
-use super::message::{self, Request, RequestError, Response};
+use super::message::{self, Request, RequestError};
 use super::reader::{IDLE_TIMEOUT, READ_TIMEOUT, first_request_deadline, read_request};
-use super::responses::error_response;
+use super::responses::{AnsweredRequest, PageOfResult, Reply, error_response};
 use crate::core::{Answer, IncomingRequest, Input};
 use crate::frontend::{ConnectionPermit, linger};
 use bytes::BytesMut;
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -21,6 +21,8 @@
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 /// The pause after each read whose input is dropped.
 const PIPELINED_INPUT_PAUSE: Duration = Duration::from_millis(10);
+/// How long after the end of its time a client may still fetch pages of its result. It covers the way to the client.
+const PAGE_EXPIRY_SLACK: Duration = Duration::from_secs(1);
 /// The initial capacity of a connection's receive buffer.
 const BUFFER_BYTES: usize = 4096;
 
@@ -30,13 +32,15 @@
     buffer: BytesMut,
     /// Input was dropped while a response was pending, so the start of the next request is unknown.
     dropped_input: bool,
+    /// The client request id of the result whose next page the client calls; `None` if there is none.
+    result_in_delivery: Option<String>,
 }
 
 /// Serves a connection until it is closed.
 pub(super) async fn serve(stream: TcpStream, permit: &ConnectionPermit, frontend: &Http) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let buffer = BytesMut::with_capacity(BUFFER_BYTES);
-    let mut client = Client { stream, buffer, dropped_input: false };
+    let mut client = Client { stream, buffer, dropped_input: false, result_in_delivery: None };
     let mut deadline = Some(first_request_deadline());
     let mut wait = READ_TIMEOUT;
     let tracked_connection = frontend.lifecycle.track_connection();
@@ -55,22 +59,29 @@
         }
         permit.idle();
     }
-    drop(tracked_connection);
     permit.ending();
-    linger(&mut client.stream, &mut client.buffer).await
+    // The connection stays counted meanwhile: if the process ended with unread input, the client could lose the response.
+    let lingered = linger(&mut client.stream, &mut client.buffer).await;
+    drop(tracked_connection);
+    lingered
 }
 
 impl Client {
     /// Waits for the first bytes of a request.
     ///
     /// Returns false if the client closed the connection or sent nothing within `wait`, or if idle connections are
-    /// being closed. Input that has already been received takes precedence over all of these.
+    /// being closed and no page of a result is expected to be called here. Input that has already been received takes
+    /// precedence over all of these.
     async fn wait_for_request(&mut self, frontend: &Http, wait: Duration) -> io::Result<bool> {
         if !self.buffer.is_empty() {
             return Ok(true);
         }
+        let result_in_delivery = self.result_in_delivery.take();
         let close_idle = async {
             frontend.lifecycle.wait_for_idle_close().await;
+            if let Some(client_request_id) = &result_in_delivery {
+                frontend.wait_for_delivery_of(client_request_id).await;
+            }
             // tokio reports the input of a connection that was just accepted only after the task has yielded once.
             tokio::task::yield_now().await;
         };
@@ -91,33 +102,48 @@
         read: Result<Request, RequestError>,
     ) -> io::Result<Option<bool>> {
         let mut close = true;
-        let response = match read {
+        let Reply { response, page } = match read {
             Ok(request) => {
                 close = request.close;
-                let Some(response) = frontend.route(self, &request).await else { return Ok(None) };
-                response
+                let Some(reply) = frontend.route(self, &request).await else { return Ok(None) };
+                reply
             }
-            Err(error) => error_response(error.status(), &error.to_string()),
+            Err(error) => error_response(error.status(), &error.to_string()).into(),
         };
-        // On `Connection: close`, the platform's clients reconnect to a manager that accepts connections.
-        let close = close || self.dropped_input || !frontend.lifecycle.keeps_idle_connections();
+        // On `Connection: close`, the platform's clients reconnect to a manager that accepts connections. That one has
+        // no pages of this one's results.
+        let is_followed = page.as_ref().is_some_and(|page| !page.is_last);
+        let keeps_open = is_followed || frontend.lifecycle.keeps_idle_connections();
+        let close = close || self.dropped_input || !keeps_open;
         let bytes = response.bytes(close);
         tokio::time::timeout(WRITE_TIMEOUT, self.stream.write_all(&bytes)).await??;
+        match page {
+            Some(PageOfResult { client_request_id, is_last: true }) => {
+                frontend.result_pages().record_delivery(&client_request_id, Instant::now());
+            }
+            Some(PageOfResult { client_request_id, is_last: false }) => {
+                self.result_in_delivery = Some(client_request_id);
+            }
+            None => {}
+        }
         Ok(Some(close))
     }
 
     /// Submits a request and waits for its answer; `None` if the client disconnected first.
-    pub(super) async fn submit(&mut self, frontend: &Http, request: IncomingRequest) -> Option<Response> {
-        let client_request_id = request.client_request_id.clone();
+    pub(super) async fn submit(&mut self, frontend: &Http, request: IncomingRequest) -> Option<Reply> {
+        let answered = AnsweredRequest {
+            client_request_id: request.client_request_id.clone(),
+            expires_at: Instant::now() + request.time_budget.to_duration() + PAGE_EXPIRY_SLACK,
+        };
         let Ok(mut submitted) = frontend.service.submit(request).await else {
-            return Some(frontend.response(&client_request_id, Answer::Failed(None)));
+            return Some(frontend.reply(&answered, Answer::Failed(None)));
         };
         loop {
             tokio::select! {
                 answer = &mut submitted.answer => {
                     // The sender is dropped without an answer only when the service has stopped.
                     let answer = answer.unwrap_or(Answer::Failed(None));
-                    return Some(frontend.response(&client_request_id, answer));
+                    return Some(frontend.reply(&answered, answer));
                 }
                 read = self.stream.read_buf(&mut self.buffer) => {
                     // The client closed the connection, which cancels its request.
--- a/src/frontend/http/mod.rs
+++ b/src/frontend/http/mod.rs
@@ -12,9 +12,14 @@
 use self::result_pages::ResultPages;
 use crate::lifecycle::LifecycleHandle;
 use crate::service::ServiceHandle;
+use sanddyke_lifecycle::Phase;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 
+/// Interval at which a shutdown checks whether all results are delivered.
+const DELIVERY_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// The state that all connections of this frontend share.
 #[derive(Debug)]
 pub struct Http {
@@ -34,6 +39,40 @@
     fn result_pages(&self) -> MutexGuard<'_, ResultPages> {
         self.result_pages.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Waits until the pages of a result are delivered, or its client no longer waits for them.
+    async fn wait_for_delivery_of(&self, client_request_id: &str) {
+        loop {
+            self.result_pages().remove_expired(Instant::now());
+            if !self.result_pages().is_undelivered(client_request_id) {
+                return;
+            }
+            tokio::time::sleep(DELIVERY_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Waits until no request is open and the pages of all results are delivered. No request may be admitted any more.
+    async fn wait_for_delivery(&self) {
+        // The answer to the last open request becomes a stored result a moment after the request is closed.
+        let mut idle_checks = 0;
+        while idle_checks < 2 {
+            self.result_pages().remove_expired(Instant::now());
+            let open_requests = self.service.open_requests().await.unwrap_or(0);
+            let is_idle = open_requests == 0 && self.lifecycle.undelivered_results() == 0;
+            idle_checks = if is_idle { idle_checks + 1 } else { 0 };
+            tokio::time::sleep(DELIVERY_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Waits until the listener must close. On an exclusive socket that is not before all results are delivered, because
+    /// a client whose connection broke calls its next page on a new one. Returns the length of the backlog.
+    async fn wait_for_accept_stop(&self) -> usize {
+        let backlog = self.lifecycle.wait_for_accept_stop().await;
+        if self.lifecycle.phase() == Phase::Stopping {
+            self.wait_for_delivery().await;
+        }
+        backlog
+    }
 }
 
 /// Serves at most `max_connections` concurrent connections until the program's lifecycle closes the listener.
@@ -42,6 +81,6 @@
         let frontend = frontend.clone();
         async move { connection::serve(stream, &permit, &frontend).await }
     };
-    let stop_accepting = frontend.lifecycle.wait_for_accept_stop();
+    let stop_accepting = frontend.wait_for_accept_stop();
     super::accept(listener, max_connections, "client", stop_accepting, serve_connection).await;
 }
--- a/src/frontend/http/responses.rs
+++ b/src/frontend/http/responses.rs
@@ -2,27 +2,79 @@
 
 use super::Http;
 use super::message::Response;
-use super::result_pages::{page_body, split_into_pages};
+use super::result_pages::{NewResult, Page, page_body, split_into_pages};
 use crate::clock::Micros;
-use crate::core::{Answer, Invalid};
+use crate::core::{Answer, Invalid, Table};
+use sanddyke_lifecycle::Phase;
 use sanddyke_tenancy::Reason;
+use std::time::Instant;
+
+/// A response to a client, and the page of a result that it carries.
+#[derive(Debug)]
+pub(super) struct Reply {
+    pub(super) response: Response,
+    /// `None` if the response carries no page, or a complete result.
+    pub(super) page: Option<PageOfResult>,
+}
+
+/// Which page of a result a response carries.
+#[derive(Debug)]
+pub(super) struct PageOfResult {
+    pub(super) client_request_id: String,
+    pub(super) is_last: bool,
+}
+
+impl From<Response> for Reply {
+    fn from(response: Response) -> Reply {
+        Reply { response, page: None }
+    }
+}
+
+impl From<Page> for Reply {
+    fn from(page: Page) -> Reply {
+        let Page { body, client_request_id, is_last } = page;
+        Reply { response: Response::json(200, body), page: Some(PageOfResult { client_request_id, is_last }) }
+    }
+}
+
+/// The request that an answer belongs to.
+#[derive(Debug)]
+pub(super) struct AnsweredRequest {
+    pub(super) client_request_id: String,
+    /// When its client no longer waits for pages of its result.
+    pub(super) expires_at: Instant,
+}
 
 impl Http {
-    /// Builds the response for the service's answer to the request with this client request id.
-    pub(super) fn response(&self, client_request_id: &str, answer: Answer) -> Response {
-        match answer {
-            Answer::Served(table) => {
-                let mut pages = split_into_pages(&table.rows, self.page_bytes);
-                if pages.len() == 1 {
-                    return Response::json(200, page_body(&pages.remove(0), None));
-                }
-                Response::json(200, self.result_pages().insert(client_request_id, pages))
-            }
+    /// Builds the response for the service's answer to a request.
+    pub(super) fn reply(&self, request: &AnsweredRequest, answer: Answer) -> Reply {
+        let response = match answer {
+            Answer::Served(table) => return self.served(request, &table),
             Answer::Rejected { retry_after, reason } => rejection_response(retry_after, reason),
             Answer::Failed(reason) => Response::json(500, error_body("Crashed", reason)),
             Answer::Cancelled => Response::json(500, error_body("Cancelled", None)),
             Answer::Invalid(error) => error_response(invalid_status(&error), &error.to_string()),
+        };
+        response.into()
+    }
+
+    /// Builds the response with a result, or with its first page. A result is not split into pages if the others could
+    /// not be stored, or if their calls would reach the process that this one is handed over to.
+    fn served(&self, request: &AnsweredRequest, table: &Table) -> Reply {
+        let pages = split_into_pages(&table.rows, self.page_bytes);
+        if pages.len() > 1 && self.lifecycle.phase() != Phase::HandedOver {
+            let new = NewResult {
+                client_request_id: &request.client_request_id,
+                pages,
+                expires_at: request.expires_at,
+                undelivered: self.lifecycle.track_result(),
+            };
+            if let Some(first) = self.result_pages().insert(new, Instant::now()) {
+                return first.into();
+            }
         }
+        let whole = split_into_pages(&table.rows, usize::MAX).concat();
+        Response::json(200, page_body(&whole, None)).into()
     }
 }
 
--- a/src/frontend/http/routes.rs
+++ b/src/frontend/http/routes.rs
@@ -3,7 +3,7 @@
 use super::Http;
 use super::connection::Client;
 use super::message::{self, Request, Response};
-use super::responses::error_response;
+use super::responses::{Reply, error_response};
 use crate::clock::Micros;
 use crate::core::IncomingRequest;
 
@@ -12,27 +12,27 @@
 
 impl Http {
     /// Answers a request; `None` if the client disconnected first.
-    pub(super) async fn route(&self, client: &mut Client, request: &Request) -> Option<Response> {
-        let response = match (request.method.as_str(), request.target.as_str()) {
-            ("GET", "/check") => self.readiness(),
+    pub(super) async fn route(&self, client: &mut Client, request: &Request) -> Option<Reply> {
+        let reply = match (request.method.as_str(), request.target.as_str()) {
+            ("GET", "/check") => self.readiness().into(),
             ("POST", target) => {
-                let Some(class) = target.strip_prefix("/do/") else { return Some(no_such_path()) };
+                let Some(class) = target.strip_prefix("/do/") else { return Some(no_such_path().into()) };
                 match incoming_request(class, request) {
                     Ok(incoming) => return client.submit(self, incoming).await,
-                    Err(response) => response,
+                    Err(response) => response.into(),
                 }
             }
             ("GET", target) => match self.result_pages().get(target) {
-                Some(body) => Response::json(200, body),
-                None => no_such_path(),
+                Some(page) => page.into(),
+                None => no_such_path().into(),
             },
             ("DELETE", target) => match self.result_pages().remove(target) {
-                true => empty_response(),
-                false => no_such_path(),
+                true => empty_response().into(),
+                false => no_such_path().into(),
             },
-            _ => error_response(405, "no such method"),
+            _ => error_response(405, "no such method").into(),
         };
-        Some(response)
+        Some(reply)
     }
 
     fn readiness(&self) -> Response {
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -32,10 +32,11 @@
     current: Arc<watch::Sender<TimedLifecycle>>,
     unanswered_requests: Arc<AtomicUsize>,
     open_connections: Arc<AtomicUsize>,
+    undelivered_results: Arc<AtomicUsize>,
 }
 
-/// Counts a request without a complete answer, or a connection on which a request may arrive, until it is dropped. A
-/// graceful shutdown waits for both.
+/// Counts a request without a complete answer, a connection on which a request may arrive, or a result of which a client
+/// may still fetch pages, until it is dropped. A graceful shutdown waits for all of them.
 #[derive(Debug)]
 pub struct OpenGuard(Arc<AtomicUsize>);
 
@@ -60,6 +61,7 @@
             current: Arc::new(watch::Sender::new(initial)),
             unanswered_requests: Arc::default(),
             open_connections: Arc::default(),
+            undelivered_results: Arc::default(),
         }
     }
 
@@ -175,6 +177,21 @@
     pub fn open_connections(&self) -> usize {
         self.open_connections.load(Ordering::Relaxed)
     }
+
+    /// Counts a result of which a client may still fetch pages, until the guard is dropped.
+    pub fn track_result(&self) -> OpenGuard {
+        OpenGuard::new(&self.undelivered_results)
+    }
+
+    /// Returns the number of results of which clients may still fetch pages.
+    pub fn undelivered_results(&self) -> usize {
+        self.undelivered_results.load(Ordering::Relaxed)
+    }
+
+    /// Waits until clients no longer send requests to this process, once it shuts down and its socket closes with it.
+    pub async fn wait_for_client_switch(&self) {
+        self.wait_for(|phase| (phase == Phase::Stopping).then_some(CLIENT_SWITCH_TIME)).await;
+    }
 }
 
 #[cfg(test)]
--- a/src/server/shutdown.rs
+++ b/src/server/shutdown.rs
@@ -95,6 +95,10 @@
     /// Returns once no more connections are accepted and every accepted request is answered. This includes a request
     /// that its client is still sending.
     async fn all_answered(&self, accept_loops: Vec<JoinHandle<()>>) -> Result<(), ServiceEnded> {
+        if self.socket == ListenSocket::Exclusive {
+            self.lifecycle.wait_for_client_switch().await;
+            self.service.notify(Input::RejectNew).await?;
+        }
         for accept_loop in accept_loops {
             // The loop ends when connections are no longer accepted. By then it has accepted the listener's whole
             // backlog.
@@ -102,20 +106,18 @@
                 log::error!("accept loop panicked: {error}");
             }
         }
-        if self.socket == ListenSocket::Exclusive {
-            self.service.notify(Input::RejectNew).await?;
-        }
         while !self.is_idle().await? {
             tokio::time::sleep(COMPLETION_POLL_INTERVAL).await;
         }
         Ok(())
     }
 
-    /// Whether no request is open and no connection is left on which one may arrive.
+    /// Whether no request is open, no connection is left on which one may arrive, and no result has pages to be fetched.
     async fn is_idle(&self) -> Result<bool, ServiceEnded> {
         let open_requests = self.service.open_requests().await?;
         Ok(open_requests == 0
             && self.lifecycle.unanswered_requests() == 0
-            && self.lifecycle.open_connections() == 0)
+            && self.lifecycle.open_connections() == 0
+            && self.lifecycle.undelivered_results() == 0)
     }
 }
