Planned restart: calls of the administration API are answered

What callers saw: a call in progress at SIGTERM, such as a watch, was cut off without an answer, since the shutdown counted no calls of this API.

Change: a call counts as an unanswered request until its response is written, and a watch returns once the shutdown begins (docs said so; it waited for its time).

Evidence: a_call_that_waits_is_answered_at_sigterm failed before (connection closed without an answer) and passes.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -138,6 +138,7 @@
     while let Some(read) = read_request(&mut stream, &mut buffer, deadline, MAX_BODY_BYTES).await? {
         deadline = None;
         permit.busy();
+        let _tracked_request = admin.lifecycle.track_request();
         let (response, close) = match read {
             Ok(request) => (admin.call(&request).await, request.close),
             Err(error) => (Problem::new(error.status(), "unreadable", error.to_string()).response(), true),
--- a/src/admin/v1/audit.rs
+++ b/src/admin/v1/audit.rs
@@ -81,7 +81,10 @@
             }
             // The caller is not allowed to see any of the changes so far, so the wait continues after them.
             after = latest;
-            self.tenant_service.wait_for_change_after(latest, remaining).await;
+            tokio::select! {
+                () = self.tenant_service.wait_for_change_after(latest, remaining) => {}
+                () = self.lifecycle.wait_for_shutdown() => {}
+            }
         }
     }
 
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -188,6 +188,14 @@
         self.undelivered_results.load(Ordering::Relaxed)
     }
 
+    /// Waits until a graceful shutdown begins.
+    pub async fn wait_for_shutdown(&self) {
+        self.wait_for(|phase| {
+            matches!(phase, Phase::Stopping | Phase::HandedOver | Phase::Ended).then_some(Duration::ZERO)
+        })
+        .await;
+    }
+
     /// Waits until clients no longer send requests to this process, once it shuts down and its socket closes with it.
     pub async fn wait_for_client_switch(&self) {
         self.wait_for(|phase| (phase == Phase::Stopping).then_some(CLIENT_SWITCH_TIME)).await;
--- a/tests/hosted.rs
+++ b/tests/hosted.rs
@@ -313,6 +313,24 @@
     assert_eq!(names, expected);
 }
 
+/// Guards against callers that get no answer at a graceful shutdown, which did not count the calls of this API.
+#[test]
+fn a_call_that_waits_is_answered_at_sigterm() {
+    let (engine, folder) = (engines::line_protocol(), Folder::new());
+    let mut program = start(&[engine.address], folder.config());
+    let mut watch = TcpStream::connect(program.admin).unwrap();
+    let bearer = format!("Bearer {TOKEN}");
+    let call = request("GET", "/v1/watch?wait_ms=20000", &[("Authorization", bearer.as_str())], "");
+    watch.write_all(call.as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(300));
+    let began = Instant::now();
+    program.terminate();
+    let reply = read_reply(&mut watch).expect("an answer before the end");
+    assert_eq!((reply.status, &reply.json()["changes"]), (200, &json!([])));
+    assert!(program.wait().success());
+    assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
+}
+
 /// Guards against missed watch events. A watcher receives a change at once, and can resume after the last one it
 /// received. It gets status 410, and has to list again, if its position is unknown.
 #[test]
