--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -14,12 +14,12 @@
 use crate::cluster::Cluster;
 use crate::core::{AnswerCounts, Report};
 use crate::frontend::http::message::{Request, Response};
-use crate::frontend::http::{first_request_deadline, read_request};
+use crate::frontend::http::{InputBuffer, first_request_deadline, read_request};
 use crate::frontend::{self, ConnectionPermit};
 use crate::lifecycle::LifecycleHandle;
+use crate::memory::MemoryBudget;
 use crate::service::ServiceHandle;
 use crate::tenants::TenantService;
-use bytes::BytesMut;
 use sanddyke_authorization::{Grant, Role, constant_time_eq};
 use sanddyke_tenancy::TokenBucket;
 use serde_json::json;
@@ -88,6 +88,8 @@
     watchers: Arc<Semaphore>,
     /// Keyed by the id of the caller's token, or [`UNAUTHORIZED_ID`].
     buckets_by_caller: Mutex<HashMap<String, CallBuckets>>,
+    /// The memory budget that the input of callers counts against.
+    memory: MemoryBudget,
 }
 
 /// An authenticated caller: the id and the grant of its token.
@@ -133,7 +135,7 @@
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    let mut buffer = BytesMut::with_capacity(4096);
+    let mut buffer = InputBuffer::new(&admin.memory);
     let mut deadline = Some(first_request_deadline());
     while let Some(read) = read_request(&mut stream, &mut buffer, deadline, MAX_BODY_BYTES).await? {
         deadline = None;
@@ -146,8 +148,9 @@
         tokio::time::timeout(WRITE_TIMEOUT, stream.write_all(&response.bytes(close))).await??;
         if close {
             permit.ending();
-            return frontend::linger(&mut stream, &mut buffer).await;
+            return frontend::linger(&mut stream).await;
         }
+        buffer.shrink();
         permit.idle();
     }
     Ok(())
@@ -162,6 +165,7 @@
         clock: Clock,
         root_token: String,
         cluster: Option<Cluster>,
+        memory: MemoryBudget,
     ) -> Arc<Admin> {
         let buckets_by_caller = Mutex::default();
         Arc::new(Admin {
@@ -173,6 +177,7 @@
             cluster,
             watchers: v1::watcher_permits(),
             buckets_by_caller,
+            memory,
         })
     }
 
--- a/src/config/file.rs
+++ b/src/config/file.rs
@@ -81,6 +81,8 @@
 pub(super) struct LimitKeys {
     /// Descriptors that the process may hold, at least 64.
     pub(super) sockets: Option<usize>,
+    /// Memory that the process may hold (MB), at least 16; 512 where it is absent.
+    pub(super) memory_mb: Option<f64>,
 }
 
 #[derive(Debug, Default, Deserialize, JsonSchema)]
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -42,6 +42,10 @@
 const DEFAULT_MAX_DESCRIPTORS: usize = 1024;
 /// With fewer descriptors, none would be left for clients.
 const MIN_DESCRIPTORS: usize = 64;
+const DEFAULT_MEMORY_MB: f64 = 512.0;
+/// With less memory, none would be left for clients.
+const MIN_MEMORY_MB: f64 = 16.0;
+const BYTES_PER_MB: f64 = 1_048_576.0;
 /// Larger than the longest result of the platform's engines, because each further page costs a call and memory.
 const DEFAULT_PAGE_BYTES: usize = 256 * 1024;
 const DEFAULT_MAX_OPEN_REQUESTS: f64 = 20_000.0;
@@ -65,6 +69,8 @@
     pub seed: u64,
     /// The maximum of file descriptors that the process may have open.
     pub max_descriptors: usize,
+    /// Maximum memory of the process.
+    pub memory_limit_bytes: usize,
     /// The address of the name service; `None` if the initial endpoint list never changes.
     pub resolver: Option<SocketAddr>,
     /// The name of the engines' service, for which the name service is queried.
@@ -123,6 +129,7 @@
             settings::build(file.settings).map_err(|reason| invalid("settings", reason))?;
         let seed = seed(file.seed.as_deref(), clock)?;
         let max_descriptors = descriptors(file.limits.sockets)?;
+        let memory_limit_bytes = memory_limit(file.limits.memory_mb)?;
         let page_bytes = page_bytes(file.page_bytes)?;
         let known_tenants = KnownTenants::new(service_settings.tenants.iter().cloned());
         if file.store.is_some() {
@@ -163,6 +170,7 @@
             operations_endpoint: file.ops,
             seed,
             max_descriptors,
+            memory_limit_bytes,
             resolver: file.resolver,
             service_name: file.service.unwrap_or_else(|| DEFAULT_SERVICE_NAME.to_owned()),
             initial_engines: initial_list::initial_list(file.known, clock),
@@ -210,6 +218,18 @@
     }
 }
 
+/// Returns the memory limit in bytes.
+fn memory_limit(configured_mb: Option<f64>) -> Result<usize, ConfigError> {
+    let memory_mb = configured_mb.unwrap_or(DEFAULT_MEMORY_MB);
+    // NaN is not in the range.
+    match (MIN_MEMORY_MB..).contains(&memory_mb) {
+        true => Ok((memory_mb * BYTES_PER_MB) as usize),
+        false => {
+            Err(invalid("limits.memory_mb", format!("must be at least {MIN_MEMORY_MB}, is {memory_mb}")))
+        }
+    }
+}
+
 fn page_bytes(configured: Option<usize>) -> Result<usize, ConfigError> {
     match configured.unwrap_or(DEFAULT_PAGE_BYTES) {
         0 => Err(invalid("page_bytes", "must be above 0, is 0")),
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -23,6 +23,7 @@
         ("seed", json!("xyz")),
         ("resolver", json!(7)),
         ("limits", json!({"sockets": 3})),
+        ("limits", json!({"memory_mb": 3})),
         ("page_bytes", json!(0)),
         ("known", json!({"notices": [{"rev": 1}]})),
         ("settings", json!({})),
--- a/src/core/types/mod.rs
+++ b/src/core/types/mod.rs
@@ -13,5 +13,5 @@
 pub use engine::{Engine, EngineListUpdate, HealthCheckResult};
 pub use input::Input;
 pub use report::{EngineReport, Report, RequestReport, TenantReport};
-pub use request::{Answer, IncomingRequest, Row, Table};
+pub use request::{Answer, IncomingRequest, ResultMemory, Row, Table};
 pub use tenant::TenantUpdate;
--- a/src/core/types/request.rs
+++ b/src/core/types/request.rs
@@ -2,9 +2,13 @@
 
 use crate::clock::Micros;
 use crate::core::Invalid;
+use crate::memory::MemoryReservation;
 use sanddyke_tenancy::Reason;
 use std::sync::Arc;
 
+/// The estimated memory of an open request beside its text.
+const OPEN_REQUEST_MEMORY_BYTES: usize = 2048;
+
 /// A row of a result: the text of each column, `None` for NULL.
 pub type Row = Vec<Option<String>>;
 
@@ -15,8 +19,23 @@
     pub columns: Vec<String>,
     /// The rows, in the order in which the engine sent them.
     pub rows: Vec<Row>,
+    /// The memory of the rows.
+    pub memory: ResultMemory,
+}
+
+/// The part of the memory budget that a result occupies. It is released with the last clone.
+#[derive(Debug, Clone, Default)]
+pub struct ResultMemory(pub Option<Arc<MemoryReservation>>);
+
+/// Results are compared by their content.
+impl PartialEq for ResultMemory {
+    fn eq(&self, _other: &ResultMemory) -> bool {
+        true
+    }
 }
 
+impl Eq for ResultMemory {}
+
 impl Table {
     /// Returns the size of the values in bytes, without the column names.
     pub fn bytes(&self) -> usize {
@@ -45,6 +64,14 @@
     pub time_budget: Micros,
 }
 
+impl IncomingRequest {
+    /// Returns the estimated memory of the request while it is open: its text, and its entries in the tables of the core.
+    pub fn memory_bytes(&self) -> usize {
+        let key = self.idempotency_key.as_ref().map_or(0, String::len);
+        OPEN_REQUEST_MEMORY_BYTES + self.statement.len() + self.client_request_id.len() + key
+    }
+}
+
 /// The final answer to a request. Each request has exactly one.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Answer {
--- a/src/frontend/http/message/request.rs
+++ b/src/frontend/http/message/request.rs
@@ -14,6 +14,8 @@
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
 /// The maximum number of header fields in a request.
 const MAX_FIELDS: usize = 64;
+/// The estimated memory of a parsed header field beside its text: two strings, each with an allocation.
+const FIELD_MEMORY_BYTES: usize = 2 * (size_of::<String>() + 16);
 /// The maximum length of a method.
 const MAX_METHOD_CHARS: usize = 16;
 
@@ -35,6 +37,9 @@
     /// The body has a transfer coding, so its length is not known in advance.
     #[error("the body's length must be told")]
     LengthRequired,
+    /// The memory budget of the process does not allow a request of this size now. The request was not executed.
+    #[error("no memory for a request of this size now")]
+    OutOfMemory,
 }
 
 impl RequestError {
@@ -45,6 +50,7 @@
             RequestError::HeadTooLong => 431,
             RequestError::BodyTooLong => 413,
             RequestError::LengthRequired => 411,
+            RequestError::OutOfMemory => 503,
         }
     }
 }
@@ -143,6 +149,17 @@
         Ok(Some(Request { body, ..head.request }))
     }
 
+    /// Returns the size to which the receive buffer may have to grow.
+    pub fn max_buffer_bytes(&self) -> usize {
+        // A head that is too long is noticed with its first byte beyond the maximum.
+        self.head.as_ref().map_or(MAX_HEAD_BYTES + 1, |head| head.head_bytes + head.body_bytes)
+    }
+
+    /// Returns the estimated memory of the parsed head, while the body is incomplete.
+    pub fn head_memory_bytes(&self) -> usize {
+        self.head.as_ref().map_or(0, |head| head.head_bytes + head.request.fields.len() * FIELD_MEMORY_BYTES)
+    }
+
     /// Whether the client waits for `100 Continue` before it sends the body.
     pub fn expects_continue(&self) -> bool {
         self.head.as_ref().is_some_and(|head| head.expects_continue)
--- a/src/frontend/http/mod.rs
+++ b/src/frontend/http/mod.rs
@@ -1,16 +1,21 @@
 //! The HTTP/1.1 frontend for the platform's clients. Each connection carries one request at a time.
 
 mod connection;
+mod dropped_input;
+mod input_buffer;
 pub mod message;
 mod reader;
 mod responses;
 mod result_pages;
 mod routes;
 
+pub use input_buffer::InputBuffer;
 pub use reader::{first_request_deadline, read_request};
 
+use self::dropped_input::DroppedInput;
 use self::result_pages::ResultPages;
 use crate::lifecycle::LifecycleHandle;
+use crate::memory::MemoryBudgets;
 use crate::service::ServiceHandle;
 use sanddyke_lifecycle::Phase;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -28,12 +33,22 @@
     result_pages: Mutex<ResultPages>,
     /// The maximum size of a page. A longer result is split into pages.
     page_bytes: usize,
+    memory: MemoryBudgets,
+    dropped_input: DroppedInput,
 }
 
 impl Http {
     /// Creates a frontend that submits requests to `service` and splits results longer than `page_bytes` into pages.
-    pub fn new(service: ServiceHandle, lifecycle: LifecycleHandle, page_bytes: usize) -> Arc<Http> {
-        Arc::new(Http { service, lifecycle, result_pages: Mutex::default(), page_bytes })
+    /// What it holds for clients counts against `memory`.
+    pub fn new(
+        service: ServiceHandle,
+        lifecycle: LifecycleHandle,
+        page_bytes: usize,
+        memory: MemoryBudgets,
+    ) -> Arc<Http> {
+        let result_pages = Mutex::new(ResultPages::new(&memory.results));
+        let dropped_input = DroppedInput::new();
+        Arc::new(Http { service, lifecycle, result_pages, page_bytes, memory, dropped_input })
     }
 
     fn result_pages(&self) -> MutexGuard<'_, ResultPages> {
--- a/src/frontend/http/responses.rs
+++ b/src/frontend/http/responses.rs
@@ -1,18 +1,23 @@
 //! Builds the HTTP responses to clients.
 
 use super::Http;
-use super::message::Response;
+use super::message::{RequestError, Response};
 use super::result_pages::{NewResult, Page, page_body, split_into_pages};
 use crate::clock::Micros;
-use crate::core::{Answer, Invalid, Table};
+use crate::core::{Answer, Invalid, ResultMemory, Table};
 use sanddyke_lifecycle::Phase;
 use sanddyke_tenancy::Reason;
 use std::time::Instant;
 
+/// The time after which a request should be retried for which there was no memory.
+const RETRY_AFTER_OUT_OF_MEMORY: Micros = Micros(1_000_000);
+
 /// A response to a client, and the page of a result that it carries.
 #[derive(Debug)]
 pub(super) struct Reply {
     pub(super) response: Response,
+    /// The memory of the result, to be released once the response is written.
+    pub(super) memory: ResultMemory,
     /// `None` if the response carries no page, or a complete result.
     pub(super) page: Option<PageOfResult>,
 }
@@ -26,14 +31,19 @@
 
 impl From<Response> for Reply {
     fn from(response: Response) -> Reply {
-        Reply { response, page: None }
+        Reply { response, memory: ResultMemory::default(), page: None }
     }
 }
 
 impl From<Page> for Reply {
     fn from(page: Page) -> Reply {
         let Page { body, client_request_id, is_last } = page;
-        Reply { response: Response::json(200, body), page: Some(PageOfResult { client_request_id, is_last }) }
+        let memory = ResultMemory::default();
+        Reply {
+            response: Response::json(200, body),
+            memory,
+            page: Some(PageOfResult { client_request_id, is_last }),
+        }
     }
 }
 
@@ -49,7 +59,7 @@
     /// Builds the response for the service's answer to a request.
     pub(super) fn reply(&self, request: &AnsweredRequest, answer: Answer) -> Reply {
         let response = match answer {
-            Answer::Served(table) => return self.served(request, &table),
+            Answer::Served(table) => return self.served(request, table),
             Answer::Rejected { retry_after, reason } => rejection_response(retry_after, reason),
             Answer::Failed(reason) => Response::json(500, error_body("Crashed", reason)),
             Answer::Cancelled => Response::json(500, error_body("Cancelled", None)),
@@ -60,7 +70,7 @@
 
     /// Builds the response with a result, or with its first page. A result is not split into pages if the others could
     /// not be stored, or if their calls would reach the process that this one is handed over to.
-    fn served(&self, request: &AnsweredRequest, table: &Table) -> Reply {
+    fn served(&self, request: &AnsweredRequest, table: Table) -> Reply {
         let pages = split_into_pages(&table.rows, self.page_bytes);
         if pages.len() > 1 && self.lifecycle.phase() != Phase::HandedOver {
             let new = NewResult {
@@ -70,11 +80,12 @@
                 undelivered: self.lifecycle.track_result(),
             };
             if let Some(first) = self.result_pages().insert(new, Instant::now()) {
-                return first.into();
+                return Reply { memory: table.memory, ..first.into() };
             }
         }
         let whole = split_into_pages(&table.rows, usize::MAX).concat();
-        Response::json(200, page_body(&whole, None)).into()
+        let response = Response::json(200, page_body(&whole, None));
+        Reply { memory: table.memory, ..response.into() }
     }
 }
 
@@ -83,6 +94,19 @@
     Response::json(status, serde_json::json!({ "fault": "Unusable", "why": message }).to_string())
 }
 
+/// Builds the response to input that is not a valid request, or for which there is no memory.
+pub(super) fn request_error_response(error: RequestError) -> Response {
+    match error {
+        RequestError::OutOfMemory => out_of_memory_response(),
+        _ => error_response(error.status(), &error.to_string()),
+    }
+}
+
+/// Builds the response to a request for which there is no memory. It was not executed.
+pub(super) fn out_of_memory_response() -> Response {
+    rejection_response(RETRY_AFTER_OUT_OF_MEMORY, None)
+}
+
 fn invalid_status(error: &Invalid) -> u16 {
     match error {
         Invalid::UnknownClass(_) => 404,
--- a/src/frontend/http/result_pages.rs
+++ b/src/frontend/http/result_pages.rs
@@ -5,6 +5,7 @@
 
 use crate::core::Row;
 use crate::lifecycle::OpenGuard;
+use crate::memory::{MemoryBudget, MemoryReservation};
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
@@ -49,15 +50,23 @@
 }
 
 /// The pages that clients may still read, by client request id.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ResultPages {
     results: HashMap<String, StoredResult>,
     /// The stored results, the next one to expire first.
     by_expiry: BTreeSet<(Instant, String)>,
     bytes: usize,
+    /// The memory of the stored pages.
+    memory: MemoryReservation,
 }
 
 impl ResultPages {
+    /// Creates an empty storage, whose pages count against `budget`.
+    pub fn new(budget: &MemoryBudget) -> ResultPages {
+        let (results, by_expiry) = (HashMap::new(), BTreeSet::new());
+        ResultPages { results, by_expiry, bytes: 0, memory: budget.reservation() }
+    }
+
     /// Stores a result of several pages and returns the first one; `None` if there is no room. Each body names the path
     /// of the next page.
     pub fn insert(&mut self, new: NewResult<'_>, now: Instant) -> Option<Page> {
@@ -70,11 +79,12 @@
         let bodies: Vec<String> = bodies.collect();
         self.remove_expired(now);
         self.remove_result(client_request_id);
-        if self.results.len() >= MAX_RESULTS || self.bytes + total_bytes(&bodies) > MAX_BYTES {
+        let bytes = self.bytes + total_bytes(&bodies);
+        if self.results.len() >= MAX_RESULTS || bytes > MAX_BYTES || self.memory.try_resize(bytes).is_err() {
             return None;
         }
         let first = bodies[0].clone();
-        self.bytes += total_bytes(&bodies);
+        self.bytes = bytes;
         let client_request_id = client_request_id.to_owned();
         self.by_expiry.insert((expires_at, client_request_id.clone()));
         let stored = StoredResult { bodies, expires_at, undelivered: Some(undelivered) };
@@ -124,6 +134,7 @@
     fn remove_result(&mut self, client_request_id: &str) -> bool {
         let Some(stored) = self.results.remove(client_request_id) else { return false };
         self.bytes = self.bytes.saturating_sub(total_bytes(&stored.bodies));
+        self.memory.resize(self.bytes);
         self.by_expiry.remove(&(stored.expires_at, client_request_id.to_owned()));
         true
     }
--- a/src/frontend/http/result_pages/tests.rs
+++ b/src/frontend/http/result_pages/tests.rs
@@ -15,7 +15,7 @@
 impl Fixture {
     fn new() -> Fixture {
         let lifecycle = LifecycleHandle::new(ListenSocket::Exclusive);
-        Fixture { lifecycle, pages: ResultPages::default(), now: Instant::now() }
+        Fixture { lifecycle, pages: ResultPages::new(&MemoryBudget::new(usize::MAX)), now: Instant::now() }
     }
 
     fn insert(&mut self, client_request_id: &str, time_to_live: Duration) -> Option<Page> {
--- a/src/frontend/http/routes.rs
+++ b/src/frontend/http/routes.rs
@@ -1,7 +1,6 @@
 //! Routes requests by method and path, and reads their header fields.
 
 use super::Http;
-use super::connection::Client;
 use super::message::{self, Request, Response};
 use super::responses::{Reply, error_response};
 use crate::clock::Micros;
@@ -10,15 +9,25 @@
 /// The length of a client request id, in hexadecimal digits.
 const CLIENT_REQUEST_ID_DIGITS: usize = 16;
 
+/// What becomes of a request.
+#[derive(Debug)]
+pub(super) enum Routed {
+    Reply(Reply),
+    /// It is to be submitted to the service.
+    Submit(IncomingRequest),
+}
+
 impl Http {
-    /// Answers a request; `None` if the client disconnected first.
-    pub(super) async fn route(&self, client: &mut Client, request: &Request) -> Option<Reply> {
+    /// Answers a request, or converts it into a request for the service.
+    pub(super) fn route(&self, request: Request) -> Routed {
         let reply = match (request.method.as_str(), request.target.as_str()) {
             ("GET", "/check") => self.readiness().into(),
             ("POST", target) => {
-                let Some(class) = target.strip_prefix("/do/") else { return Some(no_such_path().into()) };
-                match incoming_request(class, request) {
-                    Ok(incoming) => return client.submit(self, incoming).await,
+                let Some(class) = target.strip_prefix("/do/") else {
+                    return Routed::Reply(no_such_path().into());
+                };
+                match incoming_request(class, &request) {
+                    Ok(incoming) => return Routed::Submit(incoming),
                     Err(response) => response.into(),
                 }
             }
@@ -32,7 +41,7 @@
             },
             _ => error_response(405, "no such method").into(),
         };
-        Some(reply)
+        Routed::Reply(reply)
     }
 
     fn readiness(&self) -> Response {
--- a/src/frontend/linger.rs
+++ b/src/frontend/linger.rs
@@ -1,6 +1,5 @@
 //! Lingering close: closes a connection without losing the last response when the client is still sending.
 
-use bytes::BytesMut;
 use std::io;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -8,6 +7,8 @@
 
 /// How long the client's input is read after the last response.
 const LINGER_TIME: Duration = Duration::from_secs(1);
+/// The size of one read.
+const READ_BYTES: usize = 2048;
 /// How much of the client's input is read after the last response.
 const LINGER_BYTES: usize = 256 * 1024;
 
@@ -19,16 +20,16 @@
 /// # Errors
 ///
 /// The sending side cannot be shut down.
-pub async fn linger<S>(stream: &mut S, buffer: &mut BytesMut) -> io::Result<()>
+pub async fn linger<S>(stream: &mut S) -> io::Result<()>
 where
     S: AsyncRead + AsyncWrite + Unpin,
 {
     stream.shutdown().await?;
     let deadline = Instant::now() + LINGER_TIME;
     let mut dropped = 0;
+    let mut space = vec![0; READ_BYTES];
     while dropped < LINGER_BYTES {
-        buffer.clear();
-        match tokio::time::timeout_at(deadline, stream.read_buf(buffer)).await {
+        match tokio::time::timeout_at(deadline, stream.read(&mut space)).await {
             Ok(Ok(read @ 1..)) => dropped += read,
             _ => return Ok(()),
         }
--- a/src/frontend/tds/connection.rs
+++ b/src/frontend/tds/connection.rs
@@ -1,9 +1,13 @@
 //! Serves one connection of a client: the login, then one request after another.
 
+use super::responses::answer_response;
 use super::tls::Stream;
 use super::{Tds, error_number, prelogin};
-use crate::frontend::ConnectionPermit;
+use crate::clock::Micros;
+use crate::core::Answer;
+use crate::frontend::{ConnectionPermit, linger};
 use crate::log_text::single_line;
+use crate::memory::{BudgetExceeded, MemoryBudget, MemoryReservation};
 use crate::tds::packet::{self, Message, MessageAssembler};
 use crate::tds::token::{self, ResponseKind};
 use crate::tds::{TdsError, login};
@@ -19,8 +23,15 @@
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// An idle connection is closed after this time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(1800);
+/// The time after which a request should be retried for which there was no memory.
+const RETRY_AFTER_OUT_OF_MEMORY: Micros = Micros(1_000_000);
 /// The initial capacity of a connection's receive buffer.
-const BUFFER_BYTES: usize = 8192;
+const BUFFER_BYTES: usize = 4096;
+/// The memory that every connection gets, whatever the budget. A usual request fits.
+const SMALL_BYTES: usize = 16 * 1024;
+/// The memory of a complete message and of what is decoded from it, as a multiple of its size: the message, the statement,
+/// and the statement with its parameters replaced.
+const DECODED_MESSAGE_FACTOR: usize = 3;
 /// The severity (`Class` of MS-TDS) of the error for a denied login.
 const LOGIN_SEVERITY: u8 = 14;
 
@@ -31,20 +42,48 @@
     pub(super) received: BytesMut,
     /// Assembles messages from the received packets.
     pub(super) assembler: MessageAssembler,
+    /// The memory of all of these, and of the last message until the next one is read.
+    pub(super) memory: MemoryReservation,
 }
 
 impl<S: AsyncRead + Unpin> MessageStream<S> {
-    pub(super) fn new(stream: S) -> MessageStream<S> {
+    pub(super) fn new(stream: S, budget: &MemoryBudget) -> MessageStream<S> {
         let received = BytesMut::with_capacity(BUFFER_BYTES);
-        MessageStream { stream, received, assembler: MessageAssembler::new(packet::MAX_LOGIN_MESSAGE_BYTES) }
+        let assembler = MessageAssembler::new(packet::MAX_LOGIN_MESSAGE_BYTES);
+        MessageStream { stream, received, assembler, memory: budget.reservation() }
+    }
+
+    /// Counts the memory of the received input, and of a message that was removed from it.
+    ///
+    /// # Errors
+    ///
+    /// The memory budget does not allow it.
+    pub(super) fn count_memory(&mut self, message_bytes: usize) -> Result<(), BudgetExceeded> {
+        let input = self.received.capacity() + self.assembler.memory_bytes();
+        let bytes = input + DECODED_MESSAGE_FACTOR * message_bytes;
+        if bytes <= SMALL_BYTES {
+            self.memory.resize(bytes);
+            return Ok(());
+        }
+        self.memory.try_resize(bytes)
+    }
+
+    /// Frees the memory that the remaining input does not need.
+    fn shrink(&mut self) {
+        if self.received.is_empty() && self.received.capacity() > BUFFER_BYTES {
+            self.received = BytesMut::with_capacity(BUFFER_BYTES);
+        }
     }
 
     /// Reads the next message; `None` if the client closed the connection.
     pub(super) async fn next(&mut self) -> io::Result<Option<Message>> {
         loop {
             if let Some(message) = self.assembler.next(&mut self.received).map_err(malformed)? {
+                self.shrink();
+                self.count_memory(message.data.len()).map_err(out_of_memory)?;
                 return Ok(Some(message));
             }
+            self.count_memory(0).map_err(out_of_memory)?;
             if self.stream.read_buf(&mut self.received).await? == 0 {
                 return Ok(None);
             }
@@ -61,7 +100,8 @@
 
 impl MessageStream<TcpStream> {
     pub(super) fn boxed(self) -> MessageStream {
-        MessageStream { stream: Box::new(self.stream), received: self.received, assembler: self.assembler }
+        let MessageStream { stream, received, assembler, memory } = self;
+        MessageStream { stream: Box::new(stream), received, assembler, memory }
     }
 }
 
@@ -69,6 +109,11 @@
     io::Error::new(io::ErrorKind::InvalidData, error)
 }
 
+/// Input for which there is no memory.
+fn out_of_memory(error: BudgetExceeded) -> io::Error {
+    io::Error::new(io::ErrorKind::OutOfMemory, error)
+}
+
 fn timed_out(_elapsed: tokio::time::error::Elapsed) -> io::Error {
     io::ErrorKind::TimedOut.into()
 }
@@ -130,7 +175,13 @@
                 return Ok(());
             }
             let message = tokio::time::timeout(MESSAGE_TIMEOUT, self.input.next()).await;
-            let Some(message) = message.map_err(timed_out)?? else { return Ok(()) };
+            let message = match message.map_err(timed_out)? {
+                Err(error) if error.kind() == io::ErrorKind::OutOfMemory => {
+                    return self.reject_message().await;
+                }
+                message => message?,
+            };
+            let Some(message) = message else { return Ok(()) };
             permit.busy();
             if !self.serve_request(message).await? {
                 return Ok(());
@@ -138,6 +189,14 @@
         }
     }
 
+    /// Rejects a message for which there is no memory. The rest of it may follow, so the connection is closed.
+    async fn reject_message(&mut self) -> io::Result<()> {
+        let answer = Answer::Rejected { retry_after: RETRY_AFTER_OUT_OF_MEMORY, reason: None };
+        self.input.received = BytesMut::new();
+        self.input.respond(&answer_response(ResponseKind::Batch, answer)).await?;
+        linger(&mut self.input.stream).await
+    }
+
     /// Waits for the first bytes of a request.
     ///
     /// Returns false if the client closed the connection, or if idle connections are being closed. TDS has no message
--- a/src/frontend/tds/mod.rs
+++ b/src/frontend/tds/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::Micros;
 use crate::lifecycle::LifecycleHandle;
+use crate::memory::MemoryBudget;
 use crate::service::ServiceHandle;
 use crate::tenant_directory::Directory;
 use std::sync::Arc;
@@ -39,6 +40,8 @@
     pub client_request_id_seed: u64,
     /// The number of the next request, from which its client request id is derived.
     pub next_request: AtomicU64,
+    /// The memory budget that messages and requests count against.
+    pub memory: MemoryBudget,
 }
 
 /// Serves at most `max_connections` concurrent connections until the program's lifecycle closes the listener.
--- a/src/frontend/tds/prelogin.rs
+++ b/src/frontend/tds/prelogin.rs
@@ -10,6 +10,9 @@
 use tokio::net::TcpStream;
 use tokio_rustls::TlsAcceptor;
 
+/// The estimated memory of the state and the buffers of an encrypted connection.
+const TLS_MEMORY_BYTES: usize = 40 * 1024;
+
 /// Reads the client's PRELOGIN and answers it. Encrypts the whole connection if the frontend has a certificate, and
 /// none of it otherwise.
 ///
@@ -20,7 +23,7 @@
 ///
 /// The connection failed, a message is malformed, or the TLS handshake failed.
 pub(super) async fn negotiate(stream: TcpStream, frontend: &Tds) -> io::Result<Option<MessageStream>> {
-    let mut plain = MessageStream::new(stream);
+    let mut plain = MessageStream::new(stream, &frontend.memory);
     let Some(message) = plain.next().await? else { return Ok(None) };
     if message.kind != packet::PRELOGIN {
         return Ok(None);
@@ -49,7 +52,13 @@
         );
         return Ok(None);
     }
+    let mut tls_memory = frontend.memory.reservation();
+    if tls_memory.try_resize(TLS_MEMORY_BYTES).is_err() {
+        log::debug!("TDS: connection closed: no memory for its encryption");
+        return Ok(None);
+    }
     let acceptor = TlsAcceptor::from(config.clone());
-    let encrypted = tls::accept(&acceptor, plain.stream, plain.received.split()).await?;
-    Ok(Some(MessageStream { stream: encrypted, received: plain.received, assembler: plain.assembler }))
+    let encrypted = tls::accept(&acceptor, plain.stream, plain.received.split(), tls_memory).await?;
+    let MessageStream { received, assembler, memory, .. } = plain;
+    Ok(Some(MessageStream { stream: encrypted, received, assembler, memory }))
 }
--- a/src/frontend/tds/requests.rs
+++ b/src/frontend/tds/requests.rs
@@ -33,10 +33,12 @@
         let response = match message.kind {
             packet::SQL_BATCH => {
                 let statement = token::read_batch(&message.data).map_err(|error| error.to_string());
+                drop(message);
                 self.execute(ResponseKind::Batch, statement).await
             }
             packet::RPC => {
                 let statement = token::read_rpc(&message.data).map_err(|error| error.to_string());
+                drop(message);
                 self.execute(ResponseKind::Rpc, statement).await
             }
             // The request was answered before the Attention was read. MS-TDS requires an acknowledgement nevertheless.
@@ -95,7 +97,8 @@
                 return WaitOutcome::Disconnected;
             }
             match self.assembler.next(&mut self.received) {
-                Ok(None) => {}
+                Ok(None) if self.count_memory(0).is_ok() => {}
+                Ok(None) => return WaitOutcome::Disconnected,
                 Ok(Some(message)) if message.kind == packet::ATTENTION => return WaitOutcome::Attention,
                 // While a response is pending, a client may send nothing but an Attention.
                 Ok(Some(_)) | Err(_) => return WaitOutcome::Disconnected,
--- a/src/frontend/tds/tls.rs
+++ b/src/frontend/tds/tls.rs
@@ -1,6 +1,7 @@
 //! TLS for TDS 7. The TLS records of the handshake are wrapped in PRELOGIN packets (MS-TDS 2.2.6.5), later records are
 //! not.
 
+use crate::memory::MemoryReservation;
 use crate::tds::packet;
 use bytes::{Buf, BytesMut};
 use std::io;
@@ -30,6 +31,8 @@
     unwrapped: BytesMut,
     /// Packets that have not been written to the connection yet.
     unwritten: BytesMut,
+    /// The memory of the connection's encryption.
+    _memory: MemoryReservation,
 }
 
 /// Performs the TLS handshake with a client. `received` is the input that followed the client's PRELOGIN.
@@ -41,6 +44,7 @@
     acceptor: &TlsAcceptor,
     stream: TcpStream,
     received: BytesMut,
+    memory: MemoryReservation,
 ) -> io::Result<Box<dyn Stream>> {
     let handshaking = Arc::new(AtomicBool::new(true));
     let wrapped = HandshakeStream {
@@ -49,6 +53,7 @@
         received,
         unwrapped: BytesMut::new(),
         unwritten: BytesMut::new(),
+        _memory: memory,
     };
     let encrypted = acceptor.accept(wrapped).await?;
     handshaking.store(false, Ordering::Relaxed);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod frontend;
 pub mod lifecycle;
 mod log_text;
+pub mod memory;
 pub mod operations_endpoint;
 pub mod service;
 pub mod settings;
--- a/src/operations_endpoint.rs
+++ b/src/operations_endpoint.rs
@@ -6,11 +6,11 @@
 
 use crate::clock::{Clock, Micros};
 use crate::frontend::http::message::{Request, Response};
-use crate::frontend::http::{first_request_deadline, read_request};
+use crate::frontend::http::{InputBuffer, first_request_deadline, read_request};
 use crate::frontend::{self, ConnectionPermit};
 use crate::lifecycle::LifecycleHandle;
+use crate::memory::MemoryBudget;
 use crate::service::ServiceHandle;
-use bytes::BytesMut;
 use sanddyke_lifecycle::{Event, Phase};
 use serde_json::json;
 use std::net::SocketAddr;
@@ -22,8 +22,6 @@
 
 /// Limit of a request's body. The content of the body is ignored.
 const MAX_BODY_BYTES: usize = 4096;
-/// Initial capacity of a connection's read buffer. It grows for a longer request.
-const READ_BUFFER_BYTES: usize = 1024;
 /// The listener's backlog.
 const BACKLOG: u32 = 1024;
 /// Limit for sending a response. A caller that has not received it by then counts as disconnected.
@@ -66,6 +64,8 @@
     pub heartbeat: Heartbeat,
     /// The clock with which the heartbeat is recorded.
     pub clock: Clock,
+    /// The memory budget that the input of callers counts against.
+    pub memory: MemoryBudget,
 }
 
 /// Serves the operations endpoint on a thread of its own until the program ends. If `max_connections` are open, a new
@@ -123,7 +123,7 @@
         permit: &ConnectionPermit,
     ) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
-        let mut buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
+        let mut buffer = InputBuffer::new(&self.memory);
         let read =
             read_request(&mut stream, &mut buffer, Some(first_request_deadline()), MAX_BODY_BYTES).await?;
         let Some(request) = read else { return Ok(()) };
@@ -134,7 +134,7 @@
         };
         tokio::time::timeout(WRITE_TIMEOUT, stream.write_all(&response.bytes(true))).await??;
         permit.ending();
-        frontend::linger(&mut stream, &mut buffer).await
+        frontend::linger(&mut stream).await
     }
 
     fn respond(&self, request: &Request) -> Response {
--- a/src/server/limits.rs
+++ b/src/server/limits.rs
@@ -1,4 +1,4 @@
-//! Division of the process's file descriptors among their uses, and the limits of connections to engines.
+//! Division of the process's file descriptors and memory among their uses, and the limits of connections to engines.
 
 use sanddyke::clock::Micros;
 use sanddyke::config::Config;
@@ -16,8 +16,16 @@
 /// Upper limit of the operations endpoint's connections.
 const MAX_OPERATIONS_CONNECTIONS: usize = 64;
 
-/// Result buffer of each open request. It is somewhat larger than the longest result of the platform's engines.
-const RESULT_BUFFER_BYTES: usize = 64 * 1024;
+/// Memory of the program with its engines, tenants and records of recent requests.
+const PROGRAM_BYTES: usize = 11 << 20;
+/// Memory of a connection without input or output.
+const CONNECTION_BYTES: usize = 6 * 1024;
+/// The part of the remaining memory that may be reserved. The allocator needs the rest, for memory between allocations
+/// and memory that was freed.
+const RESERVABLE_FRACTION: f64 = 0.6;
+/// The part of the memory beside the program that connections without input or output may occupy.
+const CONNECTIONS_FRACTION: f64 = 0.5;
+
 /// Maximum of connections to one engine over the line protocol, where a connection carries many attempts.
 const MAX_LINE_PROTOCOL_CONNECTIONS: usize = 4;
 /// Maximum of connections to one engine over TDS, where a connection carries one attempt.
@@ -35,16 +43,34 @@
 /// the engine closes the connection.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.8;
 
-/// The descriptors that the process may have open (`limits.sockets`), divided among their uses.
+/// The descriptors (`limits.sockets`) and the memory (`limits.memory_mb`) of the process, divided among their uses.
 #[derive(Debug, Clone, Copy)]
-pub struct DescriptorBudget {
+pub struct ProcessLimits {
     total: usize,
+    memory_bytes: usize,
 }
 
-impl DescriptorBudget {
-    /// Creates a budget from the total number of descriptors.
-    pub fn new(total: usize) -> DescriptorBudget {
-        DescriptorBudget { total }
+impl ProcessLimits {
+    /// Creates the limits of a process with this many descriptors and bytes of memory.
+    pub fn new(descriptors: usize, memory_bytes: usize) -> ProcessLimits {
+        ProcessLimits { total: descriptors, memory_bytes }
+    }
+
+    /// Memory that is not the program's own.
+    fn free_bytes(self) -> usize {
+        self.memory_bytes.saturating_sub(PROGRAM_BYTES)
+    }
+
+    /// Maximum of bytes that may be reserved for what clients, operators and engines send.
+    pub fn budget_bytes(self) -> usize {
+        let connections = self.max_http_connections() + self.max_operations_connections();
+        let rest = self.free_bytes().saturating_sub(connections * CONNECTION_BYTES);
+        (rest as f64 * RESERVABLE_FRACTION) as usize
+    }
+
+    /// Maximum of connections that the memory allows.
+    fn max_connections_in_memory(self) -> usize {
+        (self.free_bytes() as f64 * CONNECTIONS_FRACTION) as usize / CONNECTION_BYTES
     }
 
     /// Maximum of open requests.
@@ -54,7 +80,8 @@
 
     /// Maximum of connections from HTTP clients.
     pub fn max_http_connections(self) -> usize {
-        self.total - self.total.min(RESERVED_DESCRIPTORS) / 2
+        let descriptors = self.total - self.total.min(RESERVED_DESCRIPTORS) / 2;
+        descriptors.min(self.max_connections_in_memory())
     }
 
     /// Maximum of connections from TDS clients.
@@ -67,15 +94,10 @@
         (self.total / DESCRIPTORS_PER_OPERATIONS_CONNECTION)
             .clamp(MIN_OPERATIONS_CONNECTIONS, MAX_OPERATIONS_CONNECTIONS)
     }
-
-    /// Maximum size in bytes of all results that are being received from engines.
-    pub fn max_result_bytes(self) -> usize {
-        self.max_open_requests() * RESULT_BUFFER_BYTES
-    }
 }
 
 /// Returns the limits of connections to engines.
-pub fn upstream_limits(config: &Config, descriptors: DescriptorBudget) -> UpstreamLimits {
+pub fn upstream_limits(config: &Config) -> UpstreamLimits {
     let progress_interval_ms = config.service_settings.settings.engines.progress_interval_ms;
     let engines_report_progress = progress_interval_ms > 0.0;
     let silence_timeout = if engines_report_progress {
@@ -91,7 +113,6 @@
         engines_report_progress,
         incomplete_response_timeout: LINE_TIMEOUT,
         idle_timeout: Micros::from_ms(config.engine_idle_timeout_ms * IDLE_TIMEOUT_FRACTION),
-        max_buffered_result_bytes: descriptors.max_result_bytes(),
         max_attempts_per_connection: config.max_attempts_per_connection,
         max_connections: match config.upstream_protocol {
             UpstreamProtocol::LineProtocol => MAX_LINE_PROTOCOL_CONNECTIONS,
--- a/src/server/listeners.rs
+++ b/src/server/listeners.rs
@@ -2,13 +2,14 @@
 
 use super::Handles;
 use super::error::ServerError;
-use super::limits::DescriptorBudget;
+use super::limits::ProcessLimits;
 use super::reload::AdminTls;
 use sanddyke::admin::{self, Admin};
 use sanddyke::cluster::Cluster;
 use sanddyke::config::{AdminApi, Config, TdsListener};
 use sanddyke::frontend::http::{self, Http};
 use sanddyke::frontend::tds::{self, Tds};
+use sanddyke::memory::MemoryBudgets;
 use sanddyke::tenants::TenantService;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,15 +21,16 @@
 #[derive(Debug)]
 pub struct Listeners {
     handles: Handles,
-    descriptors: DescriptorBudget,
+    limits: ProcessLimits,
+    memory: MemoryBudgets,
     /// The accept loops. Each ends when the lifecycle no longer allows new connections.
     pub accept_loops: Vec<JoinHandle<()>>,
 }
 
 impl Listeners {
     /// Creates a value without listeners; [`Listeners::open`] adds them.
-    pub fn new(handles: Handles, descriptors: DescriptorBudget) -> Listeners {
-        Listeners { handles, descriptors, accept_loops: Vec::new() }
+    pub fn new(handles: Handles, limits: ProcessLimits, memory: MemoryBudgets) -> Listeners {
+        Listeners { handles, limits, memory, accept_loops: Vec::new() }
     }
 
     /// Opens the configured listeners.
@@ -63,8 +65,13 @@
             Some(listener) => TcpListener::from_std(listener)?,
             None => bind(address).await?,
         };
-        let frontend = Http::new(self.handles.service.clone(), self.handles.lifecycle.clone(), page_bytes);
-        let max_connections = self.descriptors.max_http_connections();
+        let frontend = Http::new(
+            self.handles.service.clone(),
+            self.handles.lifecycle.clone(),
+            page_bytes,
+            self.memory.clone(),
+        );
+        let max_connections = self.limits.max_http_connections();
         self.accept_loops.push(tokio::spawn(http::serve(listener, frontend, max_connections)));
         Ok(())
     }
@@ -81,8 +88,9 @@
             default_time_budget: settings.default_time_budget,
             client_request_id_seed: seed,
             next_request: AtomicU64::new(1),
+            memory: self.memory.requests.clone(),
         };
-        let max_connections = self.descriptors.max_tds_connections();
+        let max_connections = self.limits.max_tds_connections();
         self.accept_loops.push(tokio::spawn(tds::serve(listener, Arc::new(frontend), max_connections)));
         Ok(())
     }
@@ -98,7 +106,15 @@
         let listener = bind(settings.listen).await?;
         admin_tls.send_replace(settings.tls);
         let Handles { service, lifecycle, clock } = self.handles.clone();
-        let api = Admin::new(service, lifecycle, tenant_service, clock, settings.root_token, cluster);
+        let api = Admin::new(
+            service,
+            lifecycle,
+            tenant_service,
+            clock,
+            settings.root_token,
+            cluster,
+            self.memory.requests.clone(),
+        );
         self.accept_loops.push(tokio::spawn(admin::serve(listener, api, admin_tls.subscribe())));
         Ok(())
     }
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -2,7 +2,7 @@
 //! once requests can be served.
 
 use super::error::ServerError;
-use super::limits::{DescriptorBudget, upstream_limits};
+use super::limits::{ProcessLimits, upstream_limits};
 use super::listeners::Listeners;
 use super::reload::{AdminTls, ConfigReloader};
 use super::shutdown::ShutdownBudget;
@@ -13,6 +13,7 @@
 use sanddyke::core::{Core, EngineListUpdate, Input};
 use sanddyke::discovery::{self, DiscoveryTarget};
 use sanddyke::lifecycle::LifecycleHandle;
+use sanddyke::memory::{MemoryBudget, MemoryBudgets};
 use sanddyke::operations_endpoint::{self, Heartbeat, OperationsEndpoint};
 use sanddyke::service::{self, ServiceEnded, ServiceHandle};
 use sanddyke::settings::ServiceSettings;
@@ -36,11 +37,13 @@
             ShutdownBudget::new(&config.service_settings.settings.classes, socket, source.is_platform());
 
         let store = open_store(config.store.as_ref())?;
-        let service = start_service(&config, store.is_some(), clock);
+        let limits = ProcessLimits::new(config.max_descriptors, config.memory_limit_bytes);
+        let memory = MemoryBudgets::new(limits.budget_bytes());
+        let service = start_service(&config, store.is_some(), clock, limits, &memory.results);
         let handles = Handles { service, lifecycle, clock };
         let initial_engines = EngineListUpdate::Initial(config.initial_engines.engines());
         handles.service.notify(Input::Engines(initial_engines)).await?;
-        start_operations_endpoint(&config, &handles)?;
+        start_operations_endpoint(&config, &handles, limits, &memory.requests)?;
 
         let handover = HandoverFiles::new(&config.name, socket);
         handover.restore(&handles).await?;
@@ -57,7 +60,7 @@
         }
 
         let name = config.name.clone();
-        let mut listeners = Listeners::new(handles.clone(), DescriptorBudget::new(config.max_descriptors));
+        let mut listeners = Listeners::new(handles.clone(), limits, memory);
         listeners.open(config, inherited_listener, tenant_service, cluster.clone(), &admin_tls).await?;
         handles.lifecycle.apply(Event::EngineListLoaded)?;
         handles.lifecycle.apply(Event::EnginesChecked)?;
@@ -133,13 +136,19 @@
 }
 
 /// Starts the service task, which owns the core and the connections to engines.
-fn start_service(config: &Config, has_store: bool, clock: Clock) -> ServiceHandle {
+fn start_service(
+    config: &Config,
+    has_store: bool,
+    clock: Clock,
+    process_limits: ProcessLimits,
+    memory: &MemoryBudget,
+) -> ServiceHandle {
     let (service, messages) = ServiceHandle::new();
-    let descriptors = DescriptorBudget::new(config.max_descriptors);
-    let limits = upstream_limits(config, descriptors);
-    let upstream = UpstreamPool::new(config.upstream_protocol.clone(), service.clone(), clock, limits);
+    let limits = upstream_limits(config);
+    let upstream =
+        UpstreamPool::new(config.upstream_protocol.clone(), service.clone(), clock, limits, memory.clone());
     let mut service_settings: ServiceSettings = config.service_settings.clone();
-    service_settings.settings.limits.max_open_requests = Some(descriptors.max_open_requests());
+    service_settings.settings.limits.max_open_requests = Some(process_limits.max_open_requests());
     if has_store {
         // With a store, the tenants come from the store. Those of the settings only initialize a new store.
         service_settings.tenants = Vec::new();
@@ -154,13 +163,22 @@
 }
 
 /// Starts the operations endpoint, if one is configured, and the heartbeat that its health check uses.
-fn start_operations_endpoint(config: &Config, handles: &Handles) -> Result<(), ServerError> {
+fn start_operations_endpoint(
+    config: &Config,
+    handles: &Handles,
+    limits: ProcessLimits,
+    memory: &MemoryBudget,
+) -> Result<(), ServerError> {
     let Some(address) = config.operations_endpoint else { return Ok(()) };
     let heartbeat = Heartbeat::default();
     tokio::spawn(heartbeat.clone().run(handles.service.clone(), handles.clock));
-    let endpoint =
-        OperationsEndpoint { lifecycle: handles.lifecycle.clone(), heartbeat, clock: handles.clock };
-    let max_connections = DescriptorBudget::new(config.max_descriptors).max_operations_connections();
+    let endpoint = OperationsEndpoint {
+        lifecycle: handles.lifecycle.clone(),
+        heartbeat,
+        clock: handles.clock,
+        memory: memory.clone(),
+    };
+    let max_connections = limits.max_operations_connections();
     operations_endpoint::start(address, endpoint, max_connections)
         .map_err(|source| ServerError::BindOperationsAddress { address, source })
 }
--- a/src/tds/mod.rs
+++ b/src/tds/mod.rs
@@ -48,8 +48,8 @@
     if !bytes.len().is_multiple_of(2) {
         return None;
     }
-    let units: Vec<u16> = bytes.chunks_exact(2).map(|pair| u16::from_le_bytes([pair[0], pair[1]])).collect();
-    String::from_utf16(&units).ok()
+    let units = bytes.chunks_exact(2).map(|pair| u16::from_le_bytes([pair[0], pair[1]]));
+    char::decode_utf16(units).collect::<Result<String, _>>().ok()
 }
 
 /// Writes text that is preceded by its length in one byte (`B_VARCHAR`). Text of more than 120 characters is truncated.
--- a/src/tds/packet.rs
+++ b/src/tds/packet.rs
@@ -136,6 +136,11 @@
         self.max_message_bytes = max_message_bytes;
     }
 
+    /// Returns the memory of the message that is incomplete.
+    pub fn memory_bytes(&self) -> usize {
+        self.incomplete.as_ref().map_or(0, |message| message.data.capacity())
+    }
+
     /// Removes packets from the front of the receive buffer up to the end of the next message, and returns the message;
     /// `None` if the message is incomplete. Messages that must be ignored are skipped.
     ///
--- a/src/tds/token/tests.rs
+++ b/src/tds/token/tests.rs
@@ -20,7 +20,7 @@
 fn a_table_round_trips() {
     let long = "x".repeat(5000);
     let rows: Vec<Row> = vec![vec![Some("a".into()), None], vec![Some(String::new()), Some(long)]];
-    let sent = Table { columns: vec!["day".into()], rows: rows.clone() };
+    let sent = Table { columns: vec!["day".into()], rows: rows.clone(), ..Table::default() };
     let tokens = read_all(&table(ResponseKind::Batch, &sent));
     let back: Vec<Row> = tokens
         .iter()
@@ -47,7 +47,7 @@
 fn varied_response() -> Vec<u8> {
     let long = "x".repeat(5000);
     let rows: Vec<Row> = vec![vec![Some("a".into()), None], vec![Some(String::new()), Some(long)]];
-    let sent = Table { columns: vec!["day".into(), "note".into()], rows };
+    let sent = Table { columns: vec!["day".into(), "note".into()], rows, ..Table::default() };
     let numbers = [
         &[COLMETADATA, 3, 0][..],
         &[0, 0, 0, 0, 0, 0, 0x26, 4, 1, b'n', 0],           // INTN
@@ -90,7 +90,7 @@
 fn the_cost_of_a_row_in_pieces_grows_in_proportion_to_its_length() {
     let row = |bytes: usize| {
         let rows = vec![vec![Some("x".repeat(bytes)); 4]];
-        table(ResponseKind::Batch, &Table { columns: vec!["c".into(); 4], rows })
+        table(ResponseKind::Batch, &Table { columns: vec!["c".into(); 4], rows, ..Table::default() })
     };
     let read_in_pieces = |data: &[u8]| {
         let (mut columns, mut extent, mut start) = (Vec::new(), TokenExtent::default(), 0);
--- a/src/upstream/line_protocol/connection/in_flight.rs
+++ b/src/upstream/line_protocol/connection/in_flight.rs
@@ -2,11 +2,12 @@
 
 use crate::clock::Micros;
 use crate::core::AttemptId;
-use crate::core::Row;
+use crate::core::Table;
 use crate::decision::{LoadReport, Usage};
-use crate::upstream::ResultBudget;
 use crate::upstream::line_protocol::parse::{self, ParseError, Response, ResponseKind};
+use crate::upstream::{ROW_MEMORY_BYTES, ResultBudget, VALUE_MEMORY_BYTES};
 use bytes::Bytes;
+use thiserror::Error;
 
 /// An attempt in flight. No row is sent to the client before all pages are received, so that an engine that fails
 /// between two pages fails the attempt and not the request.
@@ -23,6 +24,15 @@
     pages: Vec<Option<Bytes>>,
 }
 
+/// Why the pages of a result can't be used.
+#[derive(Debug, Error)]
+pub(super) enum TableError {
+    #[error(transparent)]
+    Invalid(#[from] ParseError),
+    #[error("the memory budget is used up")]
+    OutOfMemory,
+}
+
 /// How a received page was handled.
 pub(super) enum PageOutcome {
     /// It is stored. Other pages may be missing.
@@ -52,7 +62,7 @@
     }
 
     /// Stores one page of the result.
-    pub(super) fn add_page(&mut self, response: &Response, max_buffered_result_bytes: usize) -> PageOutcome {
+    pub(super) fn add_page(&mut self, response: &Response) -> PageOutcome {
         let first = response.kind == ResponseKind::Ok && self.pages.is_empty();
         if first {
             self.pages = vec![None; response.fields.page_count.unwrap_or(1).max(1) as usize];
@@ -67,7 +77,7 @@
         }
         // A slice of the receive buffer would keep that whole buffer allocated.
         *slot = Some(Bytes::copy_from_slice(&response.body));
-        match self.budget.add(response.body.len(), max_buffered_result_bytes) {
+        match self.budget.add(response.body.len(), response.body.len()) {
             true => PageOutcome::Stored { first },
             false => PageOutcome::OverBudget,
         }
@@ -81,16 +91,33 @@
         self.pages.iter().all(Option::is_some)
     }
 
+    /// Returns the estimated memory of the rows of all pages.
+    pub(super) fn table_memory_bytes(&self) -> usize {
+        let pages = self.pages.iter().flatten();
+        pages.map(|page| page.len() + rows_overhead_bytes(page)).sum()
+    }
+
     /// Returns all rows in order.
-    pub(super) fn rows(&self) -> Result<Vec<Row>, ParseError> {
+    ///
+    /// # Errors
+    /// A page is invalid, or the memory budget does not allow the rows.
+    pub(super) fn into_table(self) -> Result<Table, TableError> {
         let mut rows = Vec::new();
-        for page in self.pages.iter().flatten() {
-            rows.extend(parse::rows(page)?);
+        for page in self.pages.into_iter().flatten() {
+            rows.extend(parse::rows(&page)?);
         }
-        Ok(rows)
+        let memory = self.budget.into_memory_of(&rows).ok_or(TableError::OutOfMemory)?;
+        Ok(Table { columns: Vec::new(), rows, memory })
     }
 }
 
+/// Returns the estimated memory of the rows of a page beside their text.
+fn rows_overhead_bytes(page: &[u8]) -> usize {
+    let rows = memchr::memchr_iter(b'\n', page).count();
+    let further_values = memchr::memchr_iter(b'\t', page).count();
+    rows * ROW_MEMORY_BYTES + (rows + further_values) * VALUE_MEMORY_BYTES
+}
+
 /// Returns the index of a response's page. Without a valid page number, it is an index that no result has.
 fn page_number(response: &Response) -> usize {
     match response.kind {
--- a/src/upstream/line_protocol/connection/mod.rs
+++ b/src/upstream/line_protocol/connection/mod.rs
@@ -21,6 +21,7 @@
 use crate::clock::Micros;
 use crate::core::AttemptId;
 use crate::core::ConnectionEnd;
+use crate::memory::MemoryReservation;
 use crate::service::ServiceEnded;
 use crate::upstream::closing::report_written_attempts;
 use crate::upstream::line_protocol::parse::ResponseParser;
@@ -81,6 +82,8 @@
     response_due_since: Option<Micros>,
     /// Time at which the current incomplete response began; `None` without one.
     incomplete_since: Option<Micros>,
+    /// The memory of the buffers.
+    memory: MemoryReservation,
 }
 
 /// Opens a connection, applies commands to it until it ends, and then reports the end of all that it carried.
@@ -115,6 +118,7 @@
     fn new(context: EndpointContext, load: Arc<AtomicUsize>) -> Connection {
         let now = context.clock.now();
         Connection {
+            memory: context.memory.reservation(),
             context,
             in_flight: HashMap::new(),
             health_checks: HealthChecks::default(),
@@ -166,6 +170,7 @@
     ) -> Result<std::convert::Infallible, ExchangeEnd> {
         let mut received = BytesMut::with_capacity(INITIAL_INPUT_BYTES);
         loop {
+            self.count_buffers(&mut received);
             self.begin_requests();
             self.report_never_written().await?;
             self.start_timers();
@@ -192,6 +197,20 @@
         }
     }
 
+    /// Counts the memory of the buffers, and frees what a long request or response has left. The buffers are bounded, so
+    /// they are counted whatever the budget.
+    fn count_buffers(&mut self, received: &mut BytesMut) {
+        for buffer in [&mut *received, &mut self.output.buffer] {
+            if buffer.is_empty() && buffer.capacity() > INITIAL_INPUT_BYTES {
+                *buffer = BytesMut::new();
+            }
+        }
+        let bytes = received.capacity() + self.output.buffer.capacity();
+        if bytes != self.memory.bytes() {
+            self.memory.resize(bytes);
+        }
+    }
+
     async fn handle_read(
         &mut self,
         read: std::io::Result<usize>,
--- a/src/upstream/line_protocol/connection/responses.rs
+++ b/src/upstream/line_protocol/connection/responses.rs
@@ -1,10 +1,16 @@
 //! Interprets the engine's responses and reports them to the core.
 
-use super::in_flight::{InFlight, PageOutcome};
+use super::in_flight::{InFlight, PageOutcome, TableError};
 use super::{Connection, ExchangeEnd};
-use crate::core::{AttemptEvent, ConnectionEnd, Table};
+use crate::core::{AttemptEvent, ConnectionEnd};
+use crate::upstream::SMALL_RESULT_BYTES;
 use crate::upstream::line_protocol::parse::{Response, ResponseKind};
 use bytes::BytesMut;
+use std::time::Duration;
+
+/// How long a result waits for memory that other results occupy until their clients have them. The connection is not
+/// read meanwhile, so the engine sends no more.
+const MEMORY_TIMEOUT: Duration = Duration::from_millis(100);
 
 impl Connection {
     /// Handles all complete responses in the receive buffer.
@@ -67,9 +73,9 @@
 
     /// Handles a page of a result. The first one says how many pages there are, and all others are requested at once.
     async fn handle_page(&mut self, response: Response) -> Result<(), ExchangeEnd> {
-        let max_buffered_result_bytes = self.context.limits.max_buffered_result_bytes;
+        self.wait_for_memory(response.body.len()).await;
         let Some(in_flight) = self.in_flight.get_mut(&response.id) else { return Ok(()) };
-        match in_flight.add_page(&response, max_buffered_result_bytes) {
+        match in_flight.add_page(&response) {
             PageOutcome::Unexpected => {
                 log::warn!(
                     engine = self.context.engine, request:% = in_flight.attempt, name = response.id.as_str(),
@@ -115,6 +121,13 @@
         }
     }
 
+    /// Waits until the memory budget has room for a part of a result. A small one needs none.
+    async fn wait_for_memory(&self, bytes: usize) {
+        if bytes > SMALL_RESULT_BYTES {
+            self.context.memory.wait_for(bytes, MEMORY_TIMEOUT).await;
+        }
+    }
+
     /// Reports a complete result.
     async fn report_result(
         &mut self,
@@ -124,21 +137,30 @@
         if in_flight.page_count() > 1 {
             self.output.push(format_args!("END {client_request_id}\r\n"));
         }
-        let rows = match in_flight.rows() {
-            Ok(rows) => rows,
-            Err(error) => {
+        let InFlight { attempt, usage, report, .. } = in_flight;
+        self.wait_for_memory(in_flight.table_memory_bytes()).await;
+        match in_flight.into_table() {
+            Ok(table) => {
+                let event = AttemptEvent::Served { table, usage, report };
+                Ok(self.context.report_event(attempt, event).await?)
+            }
+            Err(TableError::OutOfMemory) => {
                 log::warn!(
-                    engine = self.context.engine, request:% = in_flight.attempt, name = client_request_id,
-                    error:%;
+                    engine = self.context.engine, request:% = attempt, name = client_request_id;
+                    "no memory for a result: attempt failed"
+                );
+                let event = AttemptEvent::Ended { end: ConnectionEnd::AnsweredError, report };
+                Ok(self.context.report_event(attempt, event).await?)
+            }
+            Err(TableError::Invalid(error)) => {
+                log::warn!(
+                    engine = self.context.engine, request:% = attempt, name = client_request_id, error:%;
                     "engine connection closed: invalid result page"
                 );
-                self.context.report_ended(in_flight.attempt, ConnectionEnd::Malformed).await?;
-                return Err(ExchangeEnd::Connection(ConnectionEnd::Malformed));
+                self.context.report_ended(attempt, ConnectionEnd::Malformed).await?;
+                Err(ExchangeEnd::Connection(ConnectionEnd::Malformed))
             }
-        };
-        let table = Table { columns: Vec::new(), rows };
-        let event = AttemptEvent::Served { table, usage: in_flight.usage, report: in_flight.report };
-        Ok(self.context.report_event(in_flight.attempt, event).await?)
+        }
     }
 
     /// Stops one request whose answer can no longer be used. The other requests are not affected. The attempt's end is
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -12,12 +12,14 @@
 pub use pool::UpstreamPool;
 
 use crate::clock::{Clock, Micros};
-use crate::core::{AttemptEvent, AttemptId, Call, ConnectionEnd, HealthCheckResult, Input};
+use crate::core::{
+    AttemptEvent, AttemptId, Call, ConnectionEnd, HealthCheckResult, Input, ResultMemory, Row,
+};
 use crate::decision::{LoadReport, ProgressNote};
+use crate::memory::{MemoryBudget, MemoryReservation};
 use crate::service::{ServiceEnded, ServiceHandle};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -81,35 +83,63 @@
     pub incomplete_response_timeout: Micros,
     /// Time after which an idle connection is closed.
     pub idle_timeout: Micros,
-    /// Limit of the bytes of incomplete results that are buffered at once, over all engines.
-    pub max_buffered_result_bytes: usize,
     /// Limit of the attempts that one connection carries at once.
     pub max_attempts_per_connection: usize,
     /// Limit of the connections to one engine.
     pub max_connections: usize,
 }
 
-/// Counts the buffered bytes of one incomplete result. They are part of the sum over all engines until this is dropped.
+/// Counts one result: its text, and its memory.
 #[derive(Debug)]
 pub struct ResultBudget {
-    bytes: usize,
-    total: Arc<AtomicUsize>,
+    text_bytes: usize,
+    memory: MemoryReservation,
 }
 
+/// The memory that every result gets, whatever the budget.
+const SMALL_RESULT_BYTES: usize = 4096;
+/// The estimated memory of a value beside its text.
+const VALUE_MEMORY_BYTES: usize = size_of::<Option<String>>() + 16;
+/// The estimated memory of a row beside its values.
+const ROW_MEMORY_BYTES: usize = size_of::<Row>() + 16;
+
 impl ResultBudget {
-    /// Counts further bytes. Returns false if this result exceeds `MAX_RESULT_BYTES`, or all results exceed
-    /// `max_total`.
-    pub fn add(&mut self, bytes: usize, max_total: usize) -> bool {
-        self.bytes += bytes;
-        let total = self.total.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        self.bytes <= MAX_RESULT_BYTES && total <= max_total
+    /// Counts further text, and the memory that it occupies. Returns false if this result exceeds `MAX_RESULT_BYTES`, or
+    /// the memory budget is used up.
+    pub fn add(&mut self, text_bytes: usize, memory_bytes: usize) -> bool {
+        self.text_bytes += text_bytes;
+        self.text_bytes <= MAX_RESULT_BYTES && self.reserve(self.memory.bytes() + memory_bytes)
+    }
+
+    /// Reserves memory. A small result gets it whatever the budget, because the number of open requests is bounded.
+    fn reserve(&mut self, bytes: usize) -> bool {
+        if bytes <= SMALL_RESULT_BYTES {
+            self.memory.resize(bytes);
+            return true;
+        }
+        self.memory.try_resize(bytes).is_ok()
     }
-}
 
-impl Drop for ResultBudget {
-    fn drop(&mut self) {
-        self.total.fetch_sub(self.bytes, Ordering::Relaxed);
+    /// Counts the memory of rows instead of what was counted so far; `None` if the memory budget is used up.
+    pub fn into_memory_of(mut self, rows: &[Row]) -> Option<ResultMemory> {
+        let bytes: usize = rows.iter().map(|row| text_bytes(row) + row_overhead_bytes(row)).sum();
+        self.reserve(bytes).then(|| self.into_memory())
     }
+
+    /// Returns the memory that was counted.
+    pub fn into_memory(self) -> ResultMemory {
+        ResultMemory(Some(Arc::new(self.memory)))
+    }
+}
+
+/// Returns the length of a row's values.
+fn text_bytes(row: &Row) -> usize {
+    row.iter().flatten().map(String::len).sum()
+}
+
+/// Returns the estimated memory of a row beside its text.
+fn row_overhead_bytes(row: &Row) -> usize {
+    ROW_MEMORY_BYTES + row.len() * VALUE_MEMORY_BYTES
 }
 
 /// What each connection to an engine needs in order to report to the core.
@@ -123,14 +153,14 @@
     pub clock: Clock,
     /// Limits and timeouts, the same for all engines.
     pub limits: UpstreamLimits,
-    /// Bytes of incomplete results that the connections to all engines buffer now.
-    pub buffered_result_bytes: Arc<AtomicUsize>,
+    /// Memory budget of the process.
+    pub memory: MemoryBudget,
 }
 
 impl EndpointContext {
     /// Returns an empty budget for one result.
     pub fn result_budget(&self) -> ResultBudget {
-        ResultBudget { bytes: 0, total: self.buffered_result_bytes.clone() }
+        ResultBudget { text_bytes: 0, memory: self.memory.reservation() }
     }
 
     /// Reports an event of an attempt.
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -7,11 +7,10 @@
 use crate::clock::{Clock, Micros};
 use crate::core::{AttemptEvent, Command, ConnectionEnd, HealthCheckResult, Input};
 use crate::decision::EngineState;
+use crate::memory::MemoryBudget;
 use crate::service::ServiceHandle;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
 use tokio::sync::mpsc;
 
 /// Commands that may wait for one engine. Attempts beyond that are never executed.
@@ -24,7 +23,7 @@
     handle: ServiceHandle,
     clock: Clock,
     limits: UpstreamLimits,
-    buffered_result_bytes: Arc<AtomicUsize>,
+    memory: MemoryBudget,
     /// Command queue of each engine's task by engine number. A task ends, with its connections, once its sender is
     /// dropped.
     engines: HashMap<u64, mpsc::Sender<EndpointCommand>>,
@@ -43,15 +42,9 @@
         handle: ServiceHandle,
         clock: Clock,
         limits: UpstreamLimits,
+        memory: MemoryBudget,
     ) -> UpstreamPool {
-        UpstreamPool {
-            protocol,
-            handle,
-            clock,
-            limits,
-            buffered_result_bytes: Arc::default(),
-            engines: HashMap::new(),
-        }
+        UpstreamPool { protocol, handle, clock, limits, memory, engines: HashMap::new() }
     }
 
     /// Applies a command of the core. If the engine's task does not accept it, returns its end as an input for the
@@ -113,7 +106,7 @@
             handle: self.handle.clone(),
             clock: self.clock,
             limits: self.limits.clone(),
-            buffered_result_bytes: self.buffered_result_bytes.clone(),
+            memory: self.memory.clone(),
         };
         match &self.protocol {
             UpstreamProtocol::LineProtocol => tokio::spawn(line_protocol::run(context, address, commands)),
--- a/src/upstream/tds/connection.rs
+++ b/src/upstream/tds/connection.rs
@@ -12,7 +12,9 @@
 use crate::tds::token::{self, Token};
 use crate::upstream::closing::report_written_attempts;
 use crate::upstream::line_protocol::load_report;
-use crate::upstream::{EndpointCommand, EndpointContext, ResultBudget, progress_note};
+use crate::upstream::{
+    EndpointCommand, EndpointContext, ResultBudget, progress_note, row_overhead_bytes, text_bytes,
+};
 use std::net::SocketAddr;
 use tokio::sync::mpsc;
 
@@ -279,8 +281,8 @@
     }
 
     fn add_row(&mut self, row: Row) -> Result<(), ConnectionEnd> {
-        let bytes = row.iter().flatten().map(String::len).sum();
-        if !self.budget.add(bytes, self.context.limits.max_buffered_result_bytes) {
+        let text = text_bytes(&row);
+        if !self.budget.add(text, text + row_overhead_bytes(&row)) {
             log::warn!(
                 engine = self.context.engine, request:% = self.id;
                 "result of a TDS engine exceeds the buffer limit: attempt lost"
@@ -298,7 +300,10 @@
             Some(ERROR_DEADLINE_PASSED) => Err(ConnectionEnd::AnsweredOver),
             Some(_) => Err(ConnectionEnd::AnsweredError),
             None if done_with_error => Err(ConnectionEnd::AnsweredError),
-            None => Ok(Served { table: self.table, usage: self.usage }),
+            None => {
+                let memory = self.budget.into_memory();
+                Ok(Served { table: Table { memory, ..self.table }, usage: self.usage })
+            }
         }
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -322,6 +322,11 @@
         assert!(kill.success());
     }
 
+    /// The process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Suspends or resumes the process.
     ///
     /// `kill` returns once SIGSTOP is pending; each thread stops a little later, and may serve a request until then.
