Core: timers of answered requests are removed, not kept until they are due

What callers could see: memory that grew with the rate of requests.

Change: when the number of timers has doubled since the last time (1,024 at least), those whose request or attempt is no longer in the tables are removed. The cost is constant for each timer that was set.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -163,6 +163,16 @@
                 Timer::AttemptNotSent(attempt) => self.attempt_not_sent(now, attempt, out),
             }
         }
+        self.timers.compact(|timer| match timer {
+            Timer::Scheduler(token) => self.scheduler.needs_timer(*token),
+            Timer::RequestDeadline(request) | Timer::DeferredRequestReleased(request) => {
+                self.requests.contains_key(request)
+            }
+            Timer::AttemptTimeout(attempt)
+            | Timer::AttemptAbandoned(attempt)
+            | Timer::AttemptNotSent(attempt) => self.attempts.contains_key(attempt),
+            Timer::UnconfirmedAttemptExpired(attempt) => self.guard.engine_of(*attempt).is_some(),
+        });
     }
 }
 
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -79,3 +79,35 @@
     assert_eq!(answers(attempt_event(&mut core, 30_000, 0, served())), 0);
     assert_eq!(core.open_requests(), 0);
 }
+
+/// Guards against memory that grows with the rate of requests: the timers of answered requests stayed until the requests
+/// would have been out of time, so one client with small requests at full speed filled the memory.
+#[test]
+fn the_timers_of_answered_requests_are_removed() {
+    let (mut core, _) = core();
+    for id in 2..10_000 {
+        let incoming = IncomingRequest {
+            id,
+            client_request_id: id.to_string(),
+            class: "lookup".to_owned(),
+            tenant: None,
+            idempotency_key: None,
+            statement: "SELECT 1".into(),
+            time_budget: Micros(5_000_000),
+        };
+        let mut out = Vec::new();
+        core.handle(Micros(10), Input::RequestReceived(incoming), &mut out);
+        let attempt = AttemptId { request: id, number: 0 };
+        let event = AttemptEvent::Served { table: Table::default(), usage: None, report: None };
+        core.handle(Micros(10), Input::Attempt { attempt, event }, &mut out);
+        core.handle(Micros(10), Input::Tick, &mut out);
+        assert!(
+            out.iter().any(|command| matches!(command, Command::Answer { request, .. } if *request == id))
+        );
+    }
+    assert_eq!(core.open_requests(), 1);
+    assert!(core.timers.len() <= 2 * timers::MIN_COMPACTED_TIMERS, "{}", core.timers.len());
+    let mut out = Vec::new();
+    core.handle(Micros(5_000_010), Input::Tick, &mut out);
+    assert_eq!(core.open_requests(), 0, "the deadline of the open request is still set");
+}
--- a/src/decision/scheduler.rs
+++ b/src/decision/scheduler.rs
@@ -142,6 +142,14 @@
         out.append(&mut self.actions);
     }
 
+    /// Whether a timer with this token has an effect when it fires.
+    pub fn needs_timer(&self, token: u64) -> bool {
+        match TimerPurpose::from(token) {
+            TimerPurpose::Upkeep => true,
+            TimerPurpose::RequestDeadline(request) => self.requests.contains_key(&request),
+        }
+    }
+
     /// Sets a timer. A timer that is already set for the same purpose stays set as well.
     pub(super) fn set_timer(&mut self, purpose: TimerPurpose, after_ms: Millis) {
         self.actions.push(Action::Timer { token: purpose.token(), after_ms });
