--- a/src/core/execution_guard/mod.rs
+++ b/src/core/execution_guard/mod.rs
@@ -289,7 +289,7 @@
         for identity in &identities {
             self.identity_states.entry(identity.clone()).or_default().attempts.push(attempt);
             if proposed.effect != Effect::Repeatable {
-                self.possible_executions.insert(identity.clone(), execution);
+                self.possible_executions.insert(identity, execution);
             }
         }
         self.in_flight.insert(attempt, InFlight { engine: proposed.engine, identities });
