--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -4,11 +4,11 @@
 mod common;
 
 use common::engines;
-use common::{Program, read_reply, request, start_on_platform, wait_until};
+use common::{Program, read_reply, request, start, start_on_platform, wait_until};
 use rstest::rstest;
 use serde_json::json;
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
@@ -119,6 +119,43 @@
     }
 }
 
+/// Opens connections that each send `input`, again and again, and returns the peak of the program's memory in MB.
+fn peak_with_connections(program: &Program, address: SocketAddr, connections: usize, input: &[u8]) -> usize {
+    let (began, mut peak_mb) = (Instant::now(), 0);
+    while began.elapsed() < Duration::from_secs(3) {
+        let mut streams = Vec::new();
+        for _ in 0..connections {
+            let mut stream = TcpStream::connect(address).unwrap();
+            // Fails if the connection was evicted or rejected.
+            let _sent = stream.write_all(input);
+            streams.push(stream);
+        }
+        std::thread::sleep(Duration::from_millis(500));
+        peak_mb = peak_mb.max(anonymous_mb(program));
+    }
+    peak_mb
+}
+
+/// Guards against the same by clients without a login: TDS messages that do not end, and long bodies for operators'
+/// listeners. Each of them is counted against the same limit.
+#[test]
+fn callers_without_a_login_stay_within_the_memory_limit() {
+    let engine = engines::line_protocol();
+    let limits = json!({"memory_mb": MEMORY_MB, "sockets": DESCRIPTORS});
+    let program = start(&[engine.address], json!({ "limits": limits }));
+    let packet = [&[0x12, 0, 0x10, 0, 0, 0, 1, 0][..], &[0; 4088]].concat();
+    let peak_mb = peak_with_connections(&program, program.tds, 450, &packet.repeat(31));
+    assert!(peak_mb <= MEMORY_MB - PROGRAM_FILE_MB, "TDS: {peak_mb} MB");
+    let body = request("POST", "/v1/import", &[], &"x".repeat(1 << 20));
+    let peak_mb = peak_with_connections(&program, program.admin, 16, &body.as_bytes()[..1 << 20]);
+    assert!(peak_mb <= MEMORY_MB - PROGRAM_FILE_MB, "administration API: {peak_mb} MB");
+    let head = [b"GET / HTTP/1.1\r\n", &b"a:\r\n".repeat(3_900)[..]].concat();
+    let peak_mb = peak_with_connections(&program, program.ops, 64, &head);
+    assert!(peak_mb <= MEMORY_MB - PROGRAM_FILE_MB, "operations endpoint: {peak_mb} MB");
+    let reply = read_reply(&mut program.send("a", "lookup", 4000, None, "SELECT ok")).unwrap();
+    assert_eq!(reply.status, 200);
+}
+
 /// Guards against a client that gets no clear answer when there is no memory for its request, and against memory that
 /// stays reserved after the clients have left.
 #[test]
