Memory: responses of TDS engines and messages of managers are counted too

Seen by reading: an incomplete token of a TDS engine (4 MB for each connection) and incomplete messages of managers (256 KB for each of 1,024 connections) were not counted. A session or connection that needs more than a small part while the budget is used up is closed; what it carried counts as lost.

--- a/src/cluster/node_driver.rs
+++ b/src/cluster/node_driver.rs
@@ -10,6 +10,7 @@
 };
 use crate::clock::{Clock, Micros};
 use crate::config::ClusterSettings;
+use crate::memory::MemoryBudget;
 use sanddyke_cluster::rolling_restart::{MemberStatuses, ReportedStatus};
 use sanddyke_cluster::{
     Incarnation, Input, LeaseEffect, Member, Node, NodeConfig, Output, TICK_US, VoterDisk,
@@ -48,6 +49,7 @@
     clock: Clock,
     seed: u64,
     process: ProcessControl,
+    memory: MemoryBudget,
 ) -> std::io::Result<JoinedCluster> {
     let listener = std::net::TcpListener::bind(fleet.listen)?;
     listener.set_nonblocking(true)?;
@@ -74,7 +76,7 @@
                 Err(error) => return log::error!("cluster: {error}"),
             };
             let (inbox_sender, inbox) = mpsc::channel(QUEUE_CAPACITY);
-            let transport = PeerTransport::start(listener, listen, inbox_sender);
+            let transport = PeerTransport::start(listener, listen, inbox_sender, memory);
             let node = start_node(config, &clock, disk.as_ref());
             let driver = NodeDriver {
                 node,
--- a/src/cluster/peer_transport.rs
+++ b/src/cluster/peer_transport.rs
@@ -1,7 +1,8 @@
 //! Transports length-delimited messages between managers over TCP. A pair of managers uses two connections, one for
 //! each direction. A message that can't be sent is dropped, and the node resends what it needs.
 
-use bytes::Bytes;
+use crate::memory::{MemoryBudget, MemoryReservation};
+use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use sanddyke_cluster::node::MAX_MESSAGE_BYTES;
 use std::collections::HashMap;
@@ -10,7 +11,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Semaphore, mpsc};
-use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio_util::codec::{Decoder, FramedRead, FramedWrite, LengthDelimitedCodec};
 
 /// Maximum number of messages queued for one manager. Further messages are dropped.
 const QUEUE_CAPACITY: usize = 256;
@@ -36,10 +37,40 @@
     LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE_BYTES).new_codec()
 }
 
+/// The memory that every incoming connection gets, whatever the budget. A usual message fits.
+const SMALL_INPUT_BYTES: usize = 8192;
+
+/// Decodes messages, and counts the input that is received but not decoded yet.
+struct CountingDecoder {
+    codec: LengthDelimitedCodec,
+    memory: MemoryReservation,
+}
+
+impl Decoder for CountingDecoder {
+    type Item = BytesMut;
+    type Error = std::io::Error;
+
+    fn decode(&mut self, input: &mut BytesMut) -> std::io::Result<Option<BytesMut>> {
+        let decoded = self.codec.decode(input)?;
+        if input.len() <= SMALL_INPUT_BYTES {
+            self.memory.resize(input.len());
+        } else {
+            let counted = self.memory.try_resize(input.len());
+            counted.map_err(|error| std::io::Error::new(std::io::ErrorKind::OutOfMemory, error))?;
+        }
+        Ok(decoded)
+    }
+}
+
 impl PeerTransport {
-    /// Starts to accept connections. Received messages are sent to `inbox`.
-    pub fn start(listener: TcpListener, local: SocketAddr, inbox: mpsc::Sender<Vec<u8>>) -> PeerTransport {
-        tokio::spawn(accept_connections(listener, inbox));
+    /// Starts to accept connections. Received messages are sent to `inbox`. Incomplete ones count against `memory`.
+    pub fn start(
+        listener: TcpListener,
+        local: SocketAddr,
+        inbox: mpsc::Sender<Vec<u8>>,
+        memory: MemoryBudget,
+    ) -> PeerTransport {
+        tokio::spawn(accept_connections(listener, inbox, memory));
         PeerTransport { local, queues: HashMap::new() }
     }
 
@@ -85,7 +116,7 @@
     }
 }
 
-async fn accept_connections(listener: TcpListener, inbox: mpsc::Sender<Vec<u8>>) {
+async fn accept_connections(listener: TcpListener, inbox: mpsc::Sender<Vec<u8>>, memory: MemoryBudget) {
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         let (stream, from) = match listener.accept().await {
@@ -101,16 +132,22 @@
             continue;
         };
         let inbox = inbox.clone();
+        let decoder = CountingDecoder { codec: codec(), memory: memory.reservation() };
         tokio::spawn(async move {
-            run_incoming_connection(stream, from, inbox).await;
+            run_incoming_connection(stream, from, inbox, decoder).await;
             drop(permit);
         });
     }
 }
 
 /// Receives messages from one manager until the connection ends.
-async fn run_incoming_connection(stream: TcpStream, from: SocketAddr, inbox: mpsc::Sender<Vec<u8>>) {
-    let mut frames = FramedRead::new(stream, codec());
+async fn run_incoming_connection(
+    stream: TcpStream,
+    from: SocketAddr,
+    inbox: mpsc::Sender<Vec<u8>>,
+    decoder: CountingDecoder,
+) {
+    let mut frames = FramedRead::new(stream, decoder);
     while let Ok(Some(frame)) = tokio::time::timeout(IDLE_TIMEOUT, frames.next()).await {
         match frame {
             Ok(message) => {
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -49,7 +49,7 @@
         handover.restore(&handles).await?;
         let tenant_service = start_tenant_service(&config, store, &handles).await?;
         let restart = Arc::new(Notify::new());
-        let cluster = join_cluster(&config, &handles, &tenant_service, &restart)?;
+        let cluster = join_cluster(&config, &handles, &tenant_service, &restart, &memory.requests)?;
         let discovery_target = start_discovery(&config, &handles);
         let admin_tls = AdminTls::new(None);
         let reloader =
@@ -222,6 +222,7 @@
     handles: &Handles,
     tenant_service: &Arc<TenantService>,
     restart: &Arc<Notify>,
+    memory: &MemoryBudget,
 ) -> Result<Option<Cluster>, ServerError> {
     use sanddyke::cluster::{
         JoinedCluster, ProcessControl, ROLLING_RESTART_LEASE, backup, follow_lifecycle, restart_controller,
@@ -232,7 +233,7 @@
     let backup_interval_ms = settings.backup_interval_ms;
     let Handles { lifecycle, clock, .. } = handles.clone();
     let process = ProcessControl { lifecycle: lifecycle.clone(), restart: restart.clone() };
-    let joined = start(settings, &config.name, clock, config.seed, process);
+    let joined = start(settings, &config.name, clock, config.seed, process, memory.clone());
     let JoinedCluster { cluster, mut lease_events } =
         joined.map_err(|source| ServerError::BindClusterAddress { address, source })?;
     if let (Some(events), Some(interval_ms)) = (lease_events.remove(backup::LEASE_NAME), backup_interval_ms) {
@@ -252,6 +253,7 @@
     _handles: &Handles,
     _tenant_service: &Arc<TenantService>,
     _restart: &Arc<Notify>,
+    _memory: &MemoryBudget,
 ) -> Result<Option<Cluster>, ServerError> {
     Ok(None)
 }
--- a/src/upstream/tds/connection.rs
+++ b/src/upstream/tds/connection.rs
@@ -116,7 +116,12 @@
 
 impl Setup {
     async fn open_session(&self) -> Result<Session, ConnectionEnd> {
-        let opening = Session::open(self.address, &self.login, self.context.clock.now());
+        let opening = Session::open(
+            self.address,
+            &self.login,
+            self.context.clock.now(),
+            self.context.memory.reservation(),
+        );
         let opened = tokio::time::timeout(self.context.limits.connect_timeout, opening).await;
         opened.unwrap_or(Err(ConnectionEnd::ConnectTimeout))
     }
--- a/src/upstream/tds/session.rs
+++ b/src/upstream/tds/session.rs
@@ -4,6 +4,7 @@
 use crate::clock::Micros;
 use crate::core::ConnectionEnd;
 use crate::log_text::single_line;
+use crate::memory::{BudgetExceeded, MemoryReservation};
 use crate::tds::token::{self, Column, Token, TokenExtent};
 use crate::tds::{login, packet};
 use crate::upstream::{connect_failure, io_failure};
@@ -19,6 +20,9 @@
 /// Initial capacity of the receive buffer.
 const INITIAL_INPUT_BYTES: usize = 8192;
 
+/// The memory that every session gets, whatever the budget. A usual response is read in parts that fit.
+const SMALL_INPUT_BYTES: usize = 32 * 1024;
+
 /// An open session. It executes one batch at a time.
 pub(super) struct Session {
     stream: TcpStream,
@@ -29,6 +33,8 @@
     columns: Vec<Column>,
     /// Whether the last packet of the engine's message was received.
     message_complete: bool,
+    /// The memory of the received input.
+    memory: MemoryReservation,
     /// Time at which the last token was received.
     pub(super) last_token_at: Micros,
 }
@@ -39,6 +45,7 @@
         address: SocketAddr,
         credentials: &Login,
         now: Micros,
+        memory: MemoryReservation,
     ) -> Result<Session, ConnectionEnd> {
         let stream = TcpStream::connect(address).await.map_err(|error| connect_failure(&error))?;
         if let Err(error) = stream.set_nodelay(true) {
@@ -51,6 +58,7 @@
             extent: TokenExtent::default(),
             columns: Vec::new(),
             message_complete: false,
+            memory,
             last_token_at: now,
         };
         session.log_in(credentials).await.map_err(|_| ConnectionEnd::ConnectTimeout)?;
@@ -85,7 +93,8 @@
     /// Sends a message.
     pub(super) async fn send(&mut self, kind: u8, data: &[u8]) -> Result<(), ConnectionEnd> {
         self.message_complete = false;
-        self.tokens.clear();
+        self.tokens = BytesMut::new();
+        self.count_memory()?;
         self.extent = TokenExtent::default();
         let sent = self.stream.write_all(&packet::message(kind, data)).await;
         sent.map_err(|error| io_failure(&error))
@@ -96,6 +105,19 @@
         self.message_complete
     }
 
+    /// Counts the memory of the received input, of which a small part is allowed whatever the budget.
+    fn count_memory(&mut self) -> Result<(), ConnectionEnd> {
+        let bytes = self.received.capacity() + self.tokens.capacity();
+        if bytes <= SMALL_INPUT_BYTES {
+            self.memory.resize(bytes);
+            return Ok(());
+        }
+        self.memory.try_resize(bytes).map_err(|BudgetExceeded| {
+            log::warn!("no memory for a response of a TDS engine: session closed");
+            ConnectionEnd::RequestSilent
+        })
+    }
+
     /// Reads one more packet. Cancel safe: no byte is lost if the future is dropped.
     async fn read_packet(&mut self) -> Result<(), ConnectionEnd> {
         loop {
@@ -105,7 +127,7 @@
                     self.message_complete = packet.last;
                     return match self.tokens.len() > packet::MAX_MESSAGE_BYTES {
                         true => Err(ConnectionEnd::Malformed),
-                        false => Ok(()),
+                        false => self.count_memory(),
                     };
                 }
                 Ok(None) => {}
