SQL lexer and bind: names are read by a table, operators looked at only where needed

Name characters are looked up in a table for ASCII; the neighbours of a parameter are looked at only if a literal depends on them.

--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -3,6 +3,7 @@
 mod error;
 mod limits;
 mod listeners;
+mod memory_log;
 mod reload;
 mod shutdown;
 mod startup;
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -4,6 +4,7 @@
 use super::error::ServerError;
 use super::limits::{ProcessLimits, upstream_limits};
 use super::listeners::Listeners;
+use super::memory_log;
 use super::reload::{AdminTls, ConfigReloader};
 use super::shutdown::ShutdownBudget;
 use super::{Handles, Server, Signals, StartOptions};
@@ -39,6 +40,7 @@
         let store = open_store(config.store.as_ref())?;
         let limits = ProcessLimits::new(config.max_descriptors, config.memory_limit_bytes);
         let memory = MemoryBudgets::new(limits.budget_bytes());
+        tokio::spawn(memory_log::run(memory.clone()));
         let service = start_service(&config, store.is_some(), clock, limits, &memory.results);
         let handles = Handles { service, lifecycle, clock };
         let initial_engines = EngineListUpdate::Initial(config.initial_engines.engines());
--- a/src/sql.rs
+++ b/src/sql.rs
@@ -43,13 +43,37 @@
     }
 }
 
-fn is_number_char(c: char) -> bool {
-    c.is_alphanumeric() || c == '_' || c == '$'
+/// The ASCII characters of identifiers, by their codes.
+const ASCII_NAME_CHARS: [bool; 128] = ascii_name_chars();
+
+const fn ascii_name_chars() -> [bool; 128] {
+    let mut is_name_char = [false; 128];
+    let mut code = 0;
+    while code < is_name_char.len() {
+        let character = code as u8;
+        is_name_char[code] =
+            character.is_ascii_alphanumeric() || matches!(character, b'_' | b'$' | b'@' | b'#');
+        code += 1;
+    }
+    is_name_char
 }
 
 /// Whether a character belongs to the identifier before it. A parameter sign within a name begins no parameter.
 fn is_name_char(c: char) -> bool {
-    is_number_char(c) || c == '@' || c == '#'
+    ASCII_NAME_CHARS.get(c as usize).copied().unwrap_or_else(|| c.is_alphanumeric())
+}
+
+/// Returns the length of the name characters at the start of a text.
+fn name_length(text: &str) -> usize {
+    let is_name_byte = |byte: &u8| ASCII_NAME_CHARS.get(usize::from(*byte)).copied().unwrap_or(false);
+    let ascii_length = text.bytes().take_while(|byte| is_name_byte(byte)).count();
+    match text[ascii_length..].chars().next() {
+        Some(c) if !c.is_ascii() => {
+            ascii_length
+                + text[ascii_length..].find(|c| !is_name_char(c)).unwrap_or(text.len() - ascii_length)
+        }
+        _ => ascii_length,
+    }
 }
 
 /// The tokens of a statement, in order. Iteration reads each byte once, so its cost is proportional to the length of
@@ -115,35 +139,38 @@
         self.take(self.rest.len())
     }
 
-    /// Reads a name in brackets; `None` if no bracket closes one. Within the name, a doubled closing bracket stands for a
-    /// single one. A name with doubled closing brackets only extends to the end of the statement.
-    fn bracketed(&mut self) -> Option<&'a str> {
-        if self.rest_at_last_bracket.is_none_or(|rest| self.rest.len() <= rest) {
-            return None;
-        }
+    /// Whether the rest has a closing bracket behind its first character.
+    fn has_closing_bracket(&self) -> bool {
+        self.rest_at_last_bracket.is_some_and(|rest| self.rest.len() > rest)
+    }
+
+    /// Reads a name in brackets. Within the name, a doubled closing bracket stands for a single one. A name with doubled
+    /// closing brackets only extends to the end of the statement.
+    #[inline(never)] // keeps `next` small
+    fn bracketed(&mut self) -> &'a str {
         let mut end = 1;
         while let Some(position) = self.rest[end..].find(']') {
             let after_bracket = end + position + 1;
-            if !self.rest[after_bracket..].starts_with(']') {
-                let text = self.take(after_bracket);
-                return Some(&text[1..after_bracket - 1]);
+            if self.rest.as_bytes().get(after_bracket) != Some(&b']') {
+                return &self.take(after_bracket)[1..after_bracket - 1];
             }
             end = after_bracket + 1;
         }
-        let text = self.take(self.rest.len());
-        Some(&text[1..])
+        &self.take(self.rest.len())[1..]
     }
 
     /// Reads the characters of a number, or of a name that begins with a digit.
+    #[inline(never)] // keeps `next` small
     fn number(&mut self) -> &'a str {
-        let length = self.rest.find(|c| !is_number_char(c));
-        self.take(length.unwrap_or(self.rest.len()))
+        let length = name_length(self.rest);
+        let number = &self.rest[..length];
+        self.take(number.find(['@', '#']).unwrap_or(length))
     }
 
     /// Reads name characters after the first `prefix` bytes of the rest.
     fn name(&mut self, prefix: usize) -> &'a str {
-        let length = self.rest[prefix..].find(|c| !is_name_char(c));
-        self.take(length.map_or(self.rest.len(), |length| prefix + length))
+        let length = prefix + name_length(&self.rest[prefix..]);
+        self.take(length)
     }
 }
 
@@ -169,14 +196,12 @@
                 Token::StringOrComment(self.take(length))
             }
             ('/', Some('*')) => Token::StringOrComment(self.block_comment()),
-            ('[', _) => match self.bracketed() {
-                Some(name) => Token::Name(name),
-                None => Token::Other(self.take(first.len_utf8())),
-            },
+            ('[', _) if self.has_closing_bracket() => Token::Name(self.bracketed()),
+            ('[', _) => Token::Other(self.take('['.len_utf8())),
             // A system variable, such as `@@ROWCOUNT`.
             ('@', Some('@')) => Token::Name(self.name(0)),
             ('@', Some(c)) if is_name_char(c) => Token::Parameter(self.name(first.len_utf8())),
-            _ if first.is_numeric() => Token::Name(self.number()),
+            _ if first.is_ascii_digit() => Token::Name(self.number()),
             _ if is_name_char(first) && first != '@' => Token::Name(self.name(0)),
             _ => Token::Other(self.take(first.len_utf8())),
         })
--- a/src/sql/binding.rs
+++ b/src/sql/binding.rs
@@ -1,7 +1,7 @@
 //! Replaces the parameters of a statement by literals.
 
 use super::literal::{Literal, Notations};
-use super::{Token, tokens};
+use super::{Token, Tokens, tokens};
 use std::collections::HashMap;
 use thiserror::Error;
 
@@ -41,11 +41,14 @@
     }
     let mut bound = BoundStatement { text: String::with_capacity(statement.len().min(max_bytes)), max_bytes };
     let mut copied = 0;
+    let depends_on_operators = literals.values().any(|notations| notations.beside_operator.is_some());
     let mut behind_operator = false;
     let mut remaining = tokens(statement);
     while let Some(token) = remaining.next() {
         let Token::Parameter(name) = token else {
-            behind_operator = is_operator(&token).unwrap_or(behind_operator);
+            if depends_on_operators {
+                behind_operator = is_operator(token).unwrap_or(behind_operator);
+            }
             continue;
         };
         let is_behind_operator = std::mem::replace(&mut behind_operator, false);
@@ -54,32 +57,38 @@
         let start = name.as_ptr() as usize - statement.as_ptr() as usize;
         bound.push(&statement[copied..start])?;
         copied = start + name.len();
-        let is_before_operator = remaining.clone().find_map(|next| is_operator(&next)).unwrap_or(false);
-        let literal = match (is_before_operator, is_behind_operator) {
-            (true, _) => &notations.before_operator,
-            (false, true) => &notations.behind_operator,
-            (false, false) => &notations.plain,
+        let literal = match &notations.beside_operator {
+            Some(notations) if is_before_operator(&remaining) => &notations.before,
+            Some(notations) if is_behind_operator => &notations.behind,
+            _ => &notations.plain,
         };
-        bound.push_separated(literal, statement[copied..].chars().next())?;
+        bound.push_separated(literal, &statement[copied..])?;
     }
     bound.push(&statement[copied..])?;
     Ok(bound.text)
 }
 
+/// Whether the next token that is neither white space nor a comment is an operator.
+fn is_before_operator(remaining: &Tokens<'_>) -> bool {
+    remaining.clone().find_map(is_operator).unwrap_or(false)
+}
+
 /// Whether a token is an operator, as opposed to an operand or a delimiter; `None` for white space and comments.
-fn is_operator(token: &Token<'_>) -> Option<bool> {
+fn is_operator(token: Token<'_>) -> Option<bool> {
     match token {
         Token::StringOrComment(text) => text.starts_with('\'').then_some(false),
         Token::Name(_) | Token::Parameter(_) => Some(false),
+        Token::Other(" " | "\n") => None,
+        Token::Other("(" | ")" | "," | ";" | "=") => Some(false),
         Token::Other(text) if text.trim().is_empty() => None,
-        Token::Other(text) => Some(!matches!(*text, "(" | ")" | "," | ";" | "=")),
+        Token::Other(_) => Some(true),
     }
 }
 
 /// Whether a literal may stand directly beside this character. Others could become part of it, such as a quotation
 /// mark, or a minus sign before a negative number.
 fn is_separator(character: char) -> bool {
-    character.is_whitespace() || "(),;=".contains(character)
+    matches!(character, ' ' | '(' | ')' | ',' | ';' | '=') || character.is_whitespace()
 }
 
 /// The part of a statement whose parameters are replaced.
@@ -97,13 +106,13 @@
         Ok(())
     }
 
-    /// Appends a literal, with blanks where it would merge with the text before it or with `next`.
-    fn push_separated(&mut self, literal: &str, next: Option<char>) -> Result<(), BoundStatementTooLong> {
+    /// Appends a literal, with blanks where it would merge with the text before it or behind it.
+    fn push_separated(&mut self, literal: &str, behind: &str) -> Result<(), BoundStatementTooLong> {
         if self.text.chars().next_back().is_some_and(|previous| !is_separator(previous)) {
             self.push(" ")?;
         }
         self.push(literal)?;
-        if next.is_some_and(|next| !is_separator(next)) {
+        if behind.chars().next().is_some_and(|next| !is_separator(next)) {
             self.push(" ")?;
         }
         Ok(())
--- a/src/sql/literal.rs
+++ b/src/sql/literal.rs
@@ -35,27 +35,37 @@
 pub(super) struct Notations {
     /// Between delimiters, such as brackets and commas. Arguments of a procedure have to be plain constants.
     pub(super) plain: String,
+    /// Beside an operator; `None` if it is the plain one.
+    pub(super) beside_operator: Option<BesideOperator>,
+}
+
+/// The notations beside an operator.
+#[derive(Debug)]
+pub(super) struct BesideOperator {
     /// Behind an operator.
-    pub(super) behind_operator: String,
+    pub(super) behind: String,
     /// Before an operator, which may bind more tightly than a sign.
-    pub(super) before_operator: String,
+    pub(super) before: String,
 }
 
 impl Notations {
-    fn same(text: String) -> Notations {
-        Notations { behind_operator: text.clone(), before_operator: text.clone(), plain: text }
+    fn same(plain: String) -> Notations {
+        Notations { plain, beside_operator: None }
     }
 
     /// Returns the notations of a constant that needs a type beside an operator.
     fn cast(constant: String, sql_type: &str) -> Notations {
         let cast = format!("CAST({constant} AS {sql_type})");
-        Notations { plain: constant, behind_operator: cast.clone(), before_operator: cast }
+        let beside_operator = BesideOperator { behind: cast.clone(), before: cast };
+        Notations { plain: constant, beside_operator: Some(beside_operator) }
     }
 
     /// Returns the notations of a number, by its decimal digits and sign.
     fn number(text: String) -> Notations {
-        let before_operator = if text.starts_with('-') { format!("({text})") } else { text.clone() };
-        Notations { behind_operator: text.clone(), before_operator, plain: text }
+        let beside_operator = text
+            .starts_with('-')
+            .then(|| BesideOperator { behind: text.clone(), before: format!("({text})") });
+        Notations { plain: text, beside_operator }
     }
 }
 
