--- a/src/frontend/http/connection.rs
+++ b/src/frontend/http/connection.rs
@@ -44,7 +44,8 @@
     let mut client = Client { stream, input, dropped_input: false, result_in_delivery: None };
     let mut deadline = Some(first_request_deadline());
     let mut wait = READ_TIMEOUT;
-    let tracked_connection = frontend.lifecycle.track_connection();
+    let mut tracked_connection = Some(frontend.lifecycle.track_connection());
+    let mut ends_with_response = false;
     while client.wait_for_request(frontend, wait).await? {
         let Client { stream, input, .. } = &mut client;
         let read = read_request(stream, input, deadline, message::MAX_BODY_BYTES).await?;
@@ -56,16 +57,16 @@
         let Some(close) = client.respond(frontend, read).await? else { return Ok(()) };
         drop(tracked_request);
         if close {
+            ends_with_response = true;
             break;
         }
         permit.idle();
     }
     permit.ending();
     client.input.clear();
-    // The connection stays counted meanwhile: if the process ended with unread input, the client could lose the response.
-    let lingered = linger(&mut client.stream).await;
-    drop(tracked_connection);
-    lingered
+    // If the process ended with unread input, the client could lose its last response, so the connection stays counted.
+    tracked_connection.take_if(|_| !ends_with_response);
+    linger(&mut client.stream).await
 }
 
 impl Client {
