Tests: engines over TDS that repeat, cut and misplace responses

The emulated TDS engine can send a second copy of each kind of response (whole, its first half, its last packet) after a given time, send rows that nobody requested, close idle sessions, and answer a batch with parts of other responses. Statements 'echo' bring a row with the client request id, so that a test sees whose rows a client got.

--- a/tests/common/engines/mod.rs
+++ b/tests/common/engines/mod.rs
@@ -11,9 +11,14 @@
 //! - `stutter`: at the first attempt an error that is repeated 0.15 s later, at others work until it is cancelled;
 //! - `nap`: 0.3 s of work (`long nap`: 4 s; with `then fail` it ends in an error);
 //! - `slow`: work until it is cancelled;
+//! - `echo`: over TDS, 20 ms of work, then one row with the client request id;
+//! - `acknowledged first`, `logged in first`: over TDS, an acknowledgement of an Attention, or an answer to a login, and
+//!   then one row;
+//! - `overrun`: over TDS, a row of another request behind the end of the result;
 //! - `chatty`: like `slow`, with frequent progress notes, also while the engine is paused.
 
 mod line_protocol_session;
+pub mod tds_faults;
 mod tds_session;
 
 use line_protocol_session::speak_line_protocol;
@@ -21,6 +26,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tds_faults::TdsFaults;
 use tds_session::speak_tds;
 
 /// What an engine has received, in order: lines of the line protocol, or statements and Attentions of TDS.
@@ -33,6 +39,8 @@
     paused: AtomicBool,
     /// Time after which a health check is answered, in milliseconds.
     health_check_delay_ms: AtomicU64,
+    /// What the engine does wrong over TDS.
+    tds_faults: Mutex<TdsFaults>,
 }
 
 impl Controls {
@@ -43,6 +51,10 @@
         }
     }
 
+    fn tds_faults(&self) -> TdsFaults {
+        self.tds_faults.lock().unwrap().clone()
+    }
+
     fn health_check_delay(&self) -> Duration {
         Duration::from_millis(self.health_check_delay_ms.load(Ordering::Relaxed))
     }
@@ -76,6 +88,11 @@
         self.controls.health_check_delay_ms.store(delay_ms, Ordering::Relaxed);
     }
 
+    /// Changes what the engine does wrong over TDS from now on.
+    pub fn set_tds_faults(&self, faults: TdsFaults) {
+        *self.controls.tds_faults.lock().unwrap() = faults;
+    }
+
     /// The number of entries in `received` that contain a text.
     pub fn count(&self, text: &str) -> usize {
         self.received.lock().unwrap().iter().filter(|line| line.contains(text)).count()
