TDS engines: a session carries one request, opened ahead and given up on any byte

What callers saw: one answer that an engine over TDS sent a second time shifted its session for good.

Cause: sessions were reused, and answers on this wire name no request: they were told apart by order alone. Nothing looked at the socket while a session was idle, and no wait separates a late copy from an answer.

Change: a session carries one batch and is closed behind it, so that a copy has nobody to reach. One on which a byte or a close arrives while it is idle is given up, logged, and counted (sanddyke_sessions_discarded_total); a request that had been assigned to it waits for a new one, since nothing of it was written. The kernel is asked right before the write. A session behind an answer is closed by a reset, so that no port stays in TIME_WAIT; one with a lost attempt is closed as before, and its end awaited.

Why it works: the only earlier answers on a session are those of its login, so no copy of rows can follow a request.

--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -99,6 +99,10 @@
         page.series("sanddyke_attempts_out", &labels, engine.attempts_in_flight);
     }
     execution(&mut page, report);
+    page.metric("sanddyke_sessions_discarded_total", Kind::Counter);
+    for (reason, count) in &report.discarded_sessions {
+        page.series("sanddyke_sessions_discarded_total", &[("reason", reason)], count);
+    }
     page.0
 }
 
--- a/src/core/reporting.rs
+++ b/src/core/reporting.rs
@@ -3,7 +3,7 @@
 use super::{AttemptId, Core, EngineReport, OpenRequest, Report, RequestReport, RequestState, TenantReport};
 use crate::clock::Micros;
 use sanddyke_tenancy::{Slot, TenantId};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// The number of open requests of one class.
 #[derive(Debug, Clone, Copy, Default)]
@@ -31,7 +31,7 @@
         format!("open (queued+running): {}; attempts ended: {}", classes.join(", "), attempts.join(", "))
     }
 
-    /// Returns the state of the whole service. The cost is linear in the number of engines, requests and tenants.
+    /// Returns the state of the core; the service task adds that of the connections to engines. The cost is linear in the number of engines, requests and tenants.
     pub fn report(&self, now: Micros) -> Report {
         Report {
             engines: self.engine_reports(),
@@ -42,6 +42,7 @@
             attempts_in_flight: self.guard.in_flight(),
             deferred: self.accounting.deferred,
             violations: self.guard.violations(),
+            discarded_sessions: BTreeMap::new(),
             unknown_tenants: self.roster.unknown_tenants(),
             stopping: self.rejects_new_requests,
         }
--- a/src/core/types/report.rs
+++ b/src/core/types/report.rs
@@ -28,6 +28,9 @@
     /// Attempts that the execution guard denied, by the violated rule.
     #[serde(skip)]
     pub violations: BTreeMap<&'static str, u64>,
+    /// Sessions with engines that were closed before they carried a request, by reason.
+    #[serde(skip)]
+    pub discarded_sessions: BTreeMap<&'static str, u64>,
     /// Requests that were answered as invalid because their tenant does not exist.
     pub unknown_tenants: u64,
     /// Whether new requests are rejected because a graceful shutdown has begun.
--- a/src/server/limits.rs
+++ b/src/server/limits.rs
@@ -10,6 +10,8 @@
 const DESCRIPTORS_PER_OPEN_REQUEST: usize = 3;
 /// Number of descriptors for each connection that the operations endpoint may have.
 const DESCRIPTORS_PER_OPERATIONS_CONNECTION: usize = 16;
+/// Number of descriptors for each session with a TDS engine that may be open ahead of requests.
+const DESCRIPTORS_PER_SESSION_AHEAD: usize = 16;
 /// Lower limit of the operations endpoint's connections. It is enough for ten health checks a second and an operator
 /// at the same time.
 const MIN_OPERATIONS_CONNECTIONS: usize = 16;
@@ -48,12 +50,25 @@
 pub struct ProcessLimits {
     total: usize,
     memory_bytes: usize,
+    /// Maximum of sessions with engines that are open ahead of requests.
+    sessions_ahead: usize,
 }
 
 impl ProcessLimits {
-    /// Creates the limits of a process with this many descriptors and bytes of memory.
-    pub fn new(descriptors: usize, memory_bytes: usize) -> ProcessLimits {
-        ProcessLimits { total: descriptors, memory_bytes }
+    /// Creates the limits of a process with this many descriptors and bytes of memory, and engines with this protocol.
+    pub fn new(descriptors: usize, memory_bytes: usize, upstream: &UpstreamProtocol) -> ProcessLimits {
+        let limits = ProcessLimits { total: descriptors, memory_bytes, sessions_ahead: 0 };
+        let connections = descriptors.min(limits.max_connections_in_memory());
+        let sessions_ahead = match upstream {
+            UpstreamProtocol::LineProtocol => 0,
+            UpstreamProtocol::Tds(_) => connections / DESCRIPTORS_PER_SESSION_AHEAD,
+        };
+        ProcessLimits { sessions_ahead, ..limits }
+    }
+
+    /// Maximum of sessions with engines that are open ahead of requests, for all engines together.
+    pub fn max_sessions_ahead(self) -> usize {
+        self.sessions_ahead
     }
 
     /// Memory that is not the program's own.
@@ -63,7 +78,8 @@
 
     /// Maximum of bytes that may be reserved for what clients, operators and engines send.
     pub fn budget_bytes(self) -> usize {
-        let connections = self.max_http_connections() + self.max_operations_connections();
+        let connections =
+            self.max_http_connections() + self.max_operations_connections() + self.sessions_ahead;
         let rest = self.free_bytes().saturating_sub(connections * CONNECTION_BYTES);
         (rest as f64 * RESERVABLE_FRACTION) as usize
     }
@@ -80,7 +96,7 @@
 
     /// Maximum of connections from HTTP clients.
     pub fn max_http_connections(self) -> usize {
-        let descriptors = self.total - self.total.min(RESERVED_DESCRIPTORS) / 2;
+        let descriptors = self.total - self.total.min(RESERVED_DESCRIPTORS) / 2 - self.sessions_ahead;
         descriptors.min(self.max_connections_in_memory())
     }
 
@@ -97,7 +113,7 @@
 }
 
 /// Returns the limits of connections to engines.
-pub fn upstream_limits(config: &Config) -> UpstreamLimits {
+pub fn upstream_limits(config: &Config, process_limits: ProcessLimits) -> UpstreamLimits {
     let progress_interval_ms = config.service_settings.settings.engines.progress_interval_ms;
     let engines_report_progress = progress_interval_ms > 0.0;
     let silence_timeout = if engines_report_progress {
@@ -118,5 +134,6 @@
             UpstreamProtocol::LineProtocol => MAX_LINE_PROTOCOL_CONNECTIONS,
             UpstreamProtocol::Tds(_) => MAX_TDS_CONNECTIONS,
         },
+        max_sessions_ahead: process_limits.max_sessions_ahead(),
     }
 }
--- a/src/server/startup.rs
+++ b/src/server/startup.rs
@@ -38,7 +38,8 @@
             ShutdownBudget::new(&config.service_settings.settings.classes, socket, source.is_platform());
 
         let store = open_store(config.store.as_ref())?;
-        let limits = ProcessLimits::new(config.max_descriptors, config.memory_limit_bytes);
+        let limits =
+            ProcessLimits::new(config.max_descriptors, config.memory_limit_bytes, &config.upstream_protocol);
         let memory = MemoryBudgets::new(limits.budget_bytes());
         tokio::spawn(memory_log::run(memory.clone()));
         let service = start_service(&config, store.is_some(), clock, limits, &memory.results);
@@ -146,7 +147,7 @@
     memory: &MemoryBudget,
 ) -> ServiceHandle {
     let (service, messages) = ServiceHandle::new();
-    let limits = upstream_limits(config);
+    let limits = upstream_limits(config, process_limits);
     let upstream =
         UpstreamPool::new(config.upstream_protocol.clone(), service.clone(), clock, limits, memory.clone());
     let mut service_settings: ServiceSettings = config.service_settings.clone();
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -6,7 +6,7 @@
 pub use handle::{Message, PendingResponse, Query, ServiceEnded, ServiceHandle};
 
 use crate::clock::{Clock, Micros};
-use crate::core::{Answer, Command, Core, Input};
+use crate::core::{Answer, Command, Core, Input, Report};
 use crate::upstream::UpstreamPool;
 use std::collections::HashMap;
 use tokio::sync::{mpsc, oneshot};
@@ -89,7 +89,7 @@
     /// Replies to a query. The reply is dropped if the caller no longer waits for it.
     fn reply(&self, now: Micros, query: Query) {
         match query {
-            Query::Report(reply) => drop(reply.send(self.core.report(now))),
+            Query::Report(reply) => drop(reply.send(self.report(now))),
             Query::Usage { tenants, reply } => drop(reply.send(self.core.tenant_reports(&tenants))),
             Query::OpenRequests(reply) => drop(reply.send(self.core.open_requests())),
             Query::EnginesChecked(reply) => drop(reply.send(self.core.engines_checked())),
@@ -97,6 +97,11 @@
         }
     }
 
+    fn report(&self, now: Micros) -> Report {
+        let discarded_sessions = self.upstream.discarded_sessions().by_reason().collect();
+        Report { discarded_sessions, ..self.core.report(now) }
+    }
+
     fn log_state(&mut self, now: Micros) {
         if now >= self.next_state_log {
             self.next_state_log = now + STATE_LOG_INTERVAL;
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -5,10 +5,12 @@
 //! core with its [`EndpointContext`].
 
 mod closing;
+mod discarded_sessions;
 pub mod line_protocol;
 mod pool;
 pub mod tds;
 
+pub use discarded_sessions::{DiscardReason, DiscardedSessions};
 pub use pool::UpstreamPool;
 
 use crate::clock::{Clock, Micros};
@@ -87,6 +89,8 @@
     pub max_attempts_per_connection: usize,
     /// Limit of the connections to one engine.
     pub max_connections: usize,
+    /// Limit of the sessions that all engines together open ahead of requests (TDS).
+    pub max_sessions_ahead: usize,
 }
 
 /// Counts one result: its text, and its memory.
@@ -155,6 +159,8 @@
     pub limits: UpstreamLimits,
     /// Memory budget of the process.
     pub memory: MemoryBudget,
+    /// Counts of the sessions that carried no request.
+    pub discarded_sessions: DiscardedSessions,
 }
 
 impl EndpointContext {
--- a/src/upstream/pool.rs
+++ b/src/upstream/pool.rs
@@ -1,8 +1,8 @@
 //! The tasks of all engines that are listed or still have attempts in flight.
 
 use super::{
-    EndpointCommand, EndpointContext, UpstreamLimits, UpstreamProtocol, line_protocol, send_when_possible,
-    tds,
+    DiscardedSessions, EndpointCommand, EndpointContext, UpstreamLimits, UpstreamProtocol, line_protocol,
+    send_when_possible, tds,
 };
 use crate::clock::{Clock, Micros};
 use crate::core::{AttemptEvent, Command, ConnectionEnd, HealthCheckResult, Input};
@@ -11,7 +11,8 @@
 use crate::service::ServiceHandle;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use tokio::sync::mpsc;
+use std::sync::Arc;
+use tokio::sync::{Semaphore, mpsc};
 
 /// Commands that may wait for one engine. Attempts beyond that are never executed.
 const COMMAND_QUEUE_CAPACITY: usize = 2048;
@@ -24,6 +25,9 @@
     clock: Clock,
     limits: UpstreamLimits,
     memory: MemoryBudget,
+    /// Permits for TDS sessions that are opened ahead of requests.
+    ahead_permits: Arc<Semaphore>,
+    discarded_sessions: DiscardedSessions,
     /// Command queue of each engine's task by engine number. A task ends, with its connections, once its sender is
     /// dropped.
     engines: HashMap<u64, mpsc::Sender<EndpointCommand>>,
@@ -44,7 +48,21 @@
         limits: UpstreamLimits,
         memory: MemoryBudget,
     ) -> UpstreamPool {
-        UpstreamPool { protocol, handle, clock, limits, memory, engines: HashMap::new() }
+        UpstreamPool {
+            protocol,
+            handle,
+            clock,
+            memory,
+            ahead_permits: Arc::new(Semaphore::new(limits.max_sessions_ahead)),
+            discarded_sessions: DiscardedSessions::default(),
+            engines: HashMap::new(),
+            limits,
+        }
+    }
+
+    /// Returns the counts of the sessions that carried no request.
+    pub fn discarded_sessions(&self) -> &DiscardedSessions {
+        &self.discarded_sessions
     }
 
     /// Applies a command of the core. If the engine's task does not accept it, returns its end as an input for the
@@ -107,10 +125,14 @@
             clock: self.clock,
             limits: self.limits.clone(),
             memory: self.memory.clone(),
+            discarded_sessions: self.discarded_sessions.clone(),
         };
         match &self.protocol {
             UpstreamProtocol::LineProtocol => tokio::spawn(line_protocol::run(context, address, commands)),
-            UpstreamProtocol::Tds(login) => tokio::spawn(tds::run(context, address, commands, login.clone())),
+            UpstreamProtocol::Tds(login) => {
+                let permits = self.ahead_permits.clone();
+                tokio::spawn(tds::run(context, address, commands, login.clone(), permits))
+            }
         };
         self.engines.insert(engine, task);
     }
--- a/src/upstream/tds/connection.rs
+++ b/src/upstream/tds/connection.rs
@@ -1,120 +1,48 @@
-//! One connection to a TDS engine. Its session is opened for the first task and executes one request at a time.
+//! One connection to a TDS engine: it opens a session, waits for a request, executes it and ends.
 
-use super::session::Session;
-use super::{ConnectionNumber, IdleReport, Login, Task};
-use crate::clock::Micros;
-use crate::core::AttemptId;
-use crate::core::{AttemptEvent, Call, ConnectionEnd, Row, Table};
-use crate::decision::{LoadReport, ProgressNote, Usage};
-use crate::log_text::single_line;
+use super::attempt::{Attempt, BatchEnd, Served};
+use super::health_check::check_health;
+use super::session::{IdleEnd, Session};
+use super::{ConnectionNumber, ConnectionReport, Login, Task};
+use crate::core::{AttemptEvent, AttemptId, Call, ConnectionEnd};
 use crate::service::ServiceEnded;
-use crate::tds::packet;
-use crate::tds::token::{self, Token};
 use crate::upstream::closing::report_written_attempts;
-use crate::upstream::line_protocol::load_report;
-use crate::upstream::{
-    EndpointCommand, EndpointContext, ResultBudget, progress_note, row_overhead_bytes, text_bytes,
-};
+use crate::upstream::{DiscardReason, EndpointCommand, EndpointContext};
 use std::net::SocketAddr;
 use tokio::sync::mpsc;
 
-/// Error numbers that say that the engine is full. The request was never executed.
-const ERRORS_ENGINE_FULL: [u32; 2] = [10928, 40501];
-/// Error number that says that the deadline had passed when the engine read the request. It was never executed.
-const ERROR_DEADLINE_PASSED: u32 = 50504;
-/// Number of INFO tokens with progress or usage of a running request.
-const INFO_REQUEST_PROGRESS: u32 = 50100;
-/// Statement that requests the load report.
-const HEALTH_CHECK_STATEMENT: &str = "/*probe='load'*/ SELECT util, queue, x0, x1 FROM sys.dm_engine_load";
-
 /// Arguments of a connection's task.
 pub(super) struct Setup {
     pub context: EndpointContext,
     pub address: SocketAddr,
     pub login: Login,
     pub number: ConnectionNumber,
-    /// Queue of idle reports to the pool.
-    pub idle: mpsc::Sender<IdleReport>,
-}
-
-/// How the execution of a batch ended.
-enum BatchEnd {
-    /// The engine answered the request, or acknowledged its cancellation.
-    Answered {
-        result: Result<Served, ConnectionEnd>,
-        /// Whether the session can carry another request.
-        reusable: bool,
-    },
-    /// The session is broken, and the attempt is lost but in flight.
-    Broken(ConnectionEnd),
+    /// Queue of reports to the pool.
+    pub reports: mpsc::Sender<ConnectionReport>,
 }
 
-/// State of an attempt after its execution, and what it means for the session.
-enum AttemptState {
-    /// The attempt ended and its end is reported. The value says whether the session can carry another request.
-    Ended(bool),
-    /// The attempt is lost. The session has to be closed, which ends the attempt.
-    Lost(ConnectionEnd),
+/// Opens a session and executes one request on it. Ends without a request if the pool drops the connection.
+pub(super) async fn run(setup: Setup, mut tasks: mpsc::Receiver<Task>) {
+    if let Some(command) = setup.next_command(&mut tasks).await {
+        // An error says that the service has ended, which ends the pool as well.
+        let _ended = setup.execute(command, &mut tasks).await;
+    }
+    setup.report(ConnectionReport::Ended(setup.number)).await;
 }
 
-/// A complete result.
-struct Served {
-    table: Table,
-    usage: Option<Usage>,
+/// A command, with the session to carry it.
+struct AssignedCommand {
+    command: EndpointCommand,
+    session: Result<Session, ConnectionEnd>,
 }
 
-/// Executes tasks until the session breaks or has been idle for the idle timeout.
-pub(super) async fn run(setup: Setup, mut tasks: mpsc::Receiver<Task>) {
-    let idle_timeout = setup.context.limits.idle_timeout.to_duration();
-    let mut session: Option<Session> = None;
-    loop {
-        let Ok(Some(task)) = tokio::time::timeout(idle_timeout, tasks.recv()).await else { break };
-        let Task::Run(command) = task else { continue };
-        let (open, started_at) = (session.take(), setup.context.clock.now());
-        let mut current = match open {
-            Some(open) => open,
-            None => match setup.open_session().await {
-                Ok(opened) => opened,
-                Err(end) => {
-                    tasks.close();
-                    let _ended = setup.context.report_unwritten(command, end).await;
-                    break;
-                }
-            },
-        };
-        let reusable = match command {
-            EndpointCommand::Start { attempt, call } => {
-                match setup.run_attempt(&mut current, attempt, &call, &mut tasks).await {
-                    Ok(AttemptState::Ended(reusable)) => reusable,
-                    Ok(AttemptState::Lost(end)) => {
-                        tasks.close();
-                        let (reader, writer) = current.into_split();
-                        let _ended =
-                            report_written_attempts(&setup.context, vec![attempt], end, reader, writer).await;
-                        break;
-                    }
-                    Err(ServiceEnded) => return,
-                }
-            }
-            EndpointCommand::HealthCheck => {
-                matches!(setup.check_health(&mut current, started_at).await, Ok(true))
-            }
-            _ => true,
-        };
-        if !reusable {
-            tasks.close();
-            break;
-        }
-        session = Some(current);
-        if setup.idle.send(IdleReport(setup.number)).await.is_err() {
-            return;
-        }
+impl Setup {
+    async fn report(&self, report: ConnectionReport) {
+        // An error says that the pool has ended, which needs no report.
+        let _ended = self.reports.send(report).await;
     }
-    drop(tasks);
-    let _ended = setup.idle.send(IdleReport(setup.number)).await;
-}
 
-impl Setup {
+    /// Opens a session that can carry a request. On any error, no request was sent.
     async fn open_session(&self) -> Result<Session, ConnectionEnd> {
         let opening = Session::open(
             self.address,
@@ -123,246 +51,144 @@
             self.context.memory.reservation(),
         );
         let opened = tokio::time::timeout(self.context.limits.connect_timeout, opening).await;
-        opened.unwrap_or(Err(ConnectionEnd::ConnectTimeout))
-    }
-
-    /// Executes an attempt and reports its end, unless it is lost.
-    async fn run_attempt(
-        &self,
-        session: &mut Session,
-        attempt: AttemptId,
-        call: &Call,
-        tasks: &mut mpsc::Receiver<Task>,
-    ) -> Result<AttemptState, ServiceEnded> {
-        let Some(remaining) = call.permit.remaining(self.context.clock.now()) else {
-            self.context.report_ended(attempt, ConnectionEnd::NeverWritten).await?;
-            return Ok(AttemptState::Ended(true));
-        };
-        let batch_end = Attempt::new(&self.context, attempt, call).execute(session, remaining, tasks).await;
-        let (result, reusable) = match batch_end {
-            BatchEnd::Answered { result, reusable } => (result, reusable),
-            BatchEnd::Broken(end) => return Ok(AttemptState::Lost(end)),
-        };
-        let event = match result {
-            Ok(Served { table, usage }) => AttemptEvent::Served { table, usage, report: None },
-            Err(end) => AttemptEvent::Ended { end, report: None },
+        let session = match opened.unwrap_or(Err(ConnectionEnd::ConnectTimeout)) {
+            Ok(session) => session,
+            Err(ConnectionEnd::ConnectRefused) => return Err(ConnectionEnd::ConnectRefused),
+            Err(end) => {
+                if end == ConnectionEnd::Malformed {
+                    self.context.discarded_sessions.count(DiscardReason::UnexpectedData);
+                }
+                return Err(ConnectionEnd::ConnectTimeout);
+            }
         };
-        self.context.report_event(attempt, event).await?;
-        Ok(AttemptState::Ended(reusable))
+        match session.check_idle() {
+            Ok(()) => Ok(session),
+            Err(end) => {
+                self.discard(session, end.into());
+                Err(ConnectionEnd::ConnectTimeout)
+            }
+        }
     }
 
-    /// Requests the load report and reports it to the core. Returns true if the session can carry another request.
-    ///
-    /// A health check without an answer in time is reported as timed out. A late answer is reported beside that, since
-    /// it shows that the engine is up: without it, an engine whose answers are always late would stay ejected.
-    async fn check_health(&self, session: &mut Session, started_at: Micros) -> Result<bool, ServiceEnded> {
-        let limits = &self.context.limits;
-        let query = query_load(session);
-        tokio::pin!(query);
-        let timeout = limits.health_check_timeout.to_duration();
-        let result = match tokio::time::timeout(timeout, &mut query).await {
-            Ok(result) => result,
-            Err(_) => {
-                self.report_health_check(started_at, ConnectionEnd::TimedOut, None).await?;
-                let late = tokio::time::timeout(limits.silence_timeout.to_duration(), query).await;
-                let Ok(Ok(report)) = late else { return Ok(false) };
-                Ok(report)
+    /// Opens a session and waits for a command. A session that can't carry one is replaced only if a command has been
+    /// assigned to it. Returns `None` if the pool drops the connection.
+    async fn next_command(&self, tasks: &mut mpsc::Receiver<Task>) -> Option<AssignedCommand> {
+        let session = match self.open_session().await {
+            Ok(session) => session,
+            Err(end) => {
+                self.report(ConnectionReport::Discarded(self.number)).await;
+                let command = next_run(tasks).await?;
+                return Some(AssignedCommand { command, session: Err(end) });
             }
         };
-        let (end, report) = match result {
-            Ok(report) => (ConnectionEnd::Answered, Some(report)),
-            Err(end) => (end, None),
+        self.report(ConnectionReport::Ready(self.number)).await;
+        let discarded = tokio::select! {
+            biased;
+            command = next_run(tasks) => {
+                let command = command?;
+                match session.check_idle() {
+                    Ok(()) => return Some(AssignedCommand { command, session: Ok(session) }),
+                    Err(end) => {
+                        self.discard(session, end.into());
+                        return Some(AssignedCommand { command, session: self.open_session().await });
+                    }
+                }
+            }
+            end = session.idle_end() => end.into(),
+            () = tokio::time::sleep(self.context.limits.idle_timeout.to_duration()) => DiscardReason::Idle,
         };
-        self.report_health_check(started_at, end, report).await?;
-        Ok(report.is_some())
+        self.discard(session, discarded);
+        self.report(ConnectionReport::Discarded(self.number)).await;
+        // The pool may have assigned a command before it received the report.
+        let command = next_run(tasks).await?;
+        Some(AssignedCommand { command, session: self.open_session().await })
     }
 
-    async fn report_health_check(
-        &self,
-        started_at: Micros,
-        end: ConnectionEnd,
-        report: Option<LoadReport>,
-    ) -> Result<(), ServiceEnded> {
-        let elapsed = self.context.clock.now() - started_at;
-        self.context.report_health_check(end, report, elapsed).await
-    }
-}
-
-/// An attempt in flight, and the part of its result received so far.
-struct Attempt<'a> {
-    context: &'a EndpointContext,
-    id: AttemptId,
-    call: &'a Call,
-    table: Table,
-    usage: Option<Usage>,
-    /// Number of the first error that the engine sent.
-    error: Option<u32>,
-    budget: ResultBudget,
-}
-
-impl<'a> Attempt<'a> {
-    fn new(context: &'a EndpointContext, id: AttemptId, call: &'a Call) -> Attempt<'a> {
-        let budget = context.result_budget();
-        Attempt { context, id, call, table: Table::default(), usage: None, error: None, budget }
+    /// Closes a session that carried no request.
+    fn discard(&self, session: Session, reason: DiscardReason) {
+        self.context.discarded_sessions.count(reason);
+        let (engine, address) = (self.context.engine, self.address);
+        match reason {
+            DiscardReason::UnexpectedData => log::warn!(
+                engine, address:%; "TDS engine sent data on an idle session: session closed, no request was on it"
+            ),
+            DiscardReason::ClosedByEngine | DiscardReason::Idle => log::debug!(
+                engine, address:%, reason = reason.name(); "idle session with a TDS engine closed"
+            ),
+        }
+        session.close();
     }
 
     async fn execute(
-        mut self,
-        session: &mut Session,
-        remaining: Micros,
+        &self,
+        assigned: AssignedCommand,
         tasks: &mut mpsc::Receiver<Task>,
-    ) -> BatchEnd {
-        let batch = token::batch(&statement(self.call, remaining));
-        if let Err(end) = session.send(packet::SQL_BATCH, &batch).await {
-            return BatchEnd::Broken(end);
-        }
-        session.last_token_at = self.context.clock.now();
-        loop {
-            let limits = &self.context.limits;
-            let silent_at = self.context.clock.instant(session.last_token_at + limits.silence_timeout);
-            let token = tokio::select! {
-                token = session.next_token() => match token {
-                    Ok(token) => token,
-                    Err(end) => return BatchEnd::Broken(end),
-                },
-                task = tasks.recv() => match task {
-                    Some(Task::Cancel(cancelled)) if cancelled == self.id => {
-                        return match session.cancel().await {
-                            true => BatchEnd::Answered { result: Err(ConnectionEnd::Cancelled), reusable: true },
-                            false => BatchEnd::Broken(ConnectionEnd::Cancelled),
-                        };
-                    }
-                    Some(_) => continue,
-                    None => return BatchEnd::Broken(ConnectionEnd::Cancelled),
-                },
-                // An engine sends progress notes as long as it executes a request. Health checks, which use other
-                // connections, detect an engine that hangs.
-                () = tokio::time::sleep_until(silent_at.into()), if limits.engines_report_progress => {
-                    log::warn!(
-                        engine = self.context.engine, request:% = self.id, name = self.call.client_request_id.as_str();
-                        "TDS engine sent nothing about a request within the silence timeout: attempt lost"
-                    );
-                    return BatchEnd::Broken(ConnectionEnd::RequestSilent);
-                }
-            };
-            session.last_token_at = self.context.clock.now();
-            if let Token::Done { more: false, error, .. } = token {
-                return BatchEnd::Answered {
-                    result: self.result(error),
-                    reusable: session.is_message_complete(),
-                };
+    ) -> Result<(), ServiceEnded> {
+        let AssignedCommand { command, session } = assigned;
+        let mut session = match session {
+            Ok(session) => session,
+            Err(end) => return self.context.report_unwritten(command, end).await,
+        };
+        match command {
+            EndpointCommand::Start { attempt, call } => {
+                self.run_attempt(session, attempt, &call, tasks).await
             }
-            if let Err(end) = self.handle_token(token).await {
-                return BatchEnd::Broken(end);
+            EndpointCommand::HealthCheck => {
+                let checked = check_health(&self.context, &mut session).await;
+                session.close();
+                checked
             }
+            _ => Ok(()),
         }
     }
 
-    /// Adds one token of the response to the result.
-    async fn handle_token(&mut self, token: Token) -> Result<(), ConnectionEnd> {
-        match token {
-            Token::Columns(columns) => {
-                self.table.columns = columns.into_iter().map(|column| column.name).collect();
-            }
-            Token::Row(row) => self.add_row(row)?,
-            Token::Info { number: INFO_REQUEST_PROGRESS, text } => match parse_info(&text) {
-                Some(InfoContent::Note(note)) => {
-                    let notified = self.context.report_event(self.id, AttemptEvent::ProgressNote(note)).await;
-                    notified.map_err(|ServiceEnded| ConnectionEnd::Cancelled)?;
+    /// Executes an attempt and reports its end. A lost attempt ends once the engine has read the close.
+    async fn run_attempt(
+        &self,
+        mut session: Session,
+        attempt: AttemptId,
+        call: &Call,
+        tasks: &mut mpsc::Receiver<Task>,
+    ) -> Result<(), ServiceEnded> {
+        let Some(remaining) = call.permit.remaining(self.context.clock.now()) else {
+            session.close();
+            return self.context.report_ended(attempt, ConnectionEnd::NeverWritten).await;
+        };
+        let result =
+            match Attempt::new(&self.context, attempt, call).execute(&mut session, remaining, tasks).await {
+                BatchEnd::Answered(result) => result,
+                BatchEnd::Broken(end) => {
+                    tasks.close();
+                    self.report(ConnectionReport::Ended(self.number)).await;
+                    let (reader, writer) = session.into_split();
+                    return report_written_attempts(&self.context, vec![attempt], end, reader, writer).await;
                 }
-                Some(InfoContent::Usage(usage)) => self.usage = Some(usage),
-                None => {}
-            },
-            Token::Error { number, text } => {
-                log::debug!(
-                    engine = self.context.engine, request:% = self.id;
-                    "TDS engine sent error {number}: {}", single_line(&text)
-                );
-                self.error.get_or_insert(number);
-            }
-            _ => {}
-        }
-        Ok(())
-    }
-
-    fn add_row(&mut self, row: Row) -> Result<(), ConnectionEnd> {
-        let text = text_bytes(&row);
-        if !self.budget.add(text, text + row_overhead_bytes(&row)) {
-            log::warn!(
-                engine = self.context.engine, request:% = self.id;
-                "result of a TDS engine exceeds the buffer limit: attempt lost"
-            );
-            return Err(ConnectionEnd::RequestSilent);
-        }
-        self.table.rows.push(row);
-        Ok(())
-    }
-
-    /// Returns the result at the end of the response. The last DONE token says whether there was an error.
-    fn result(self, done_with_error: bool) -> Result<Served, ConnectionEnd> {
-        match self.error {
-            Some(number) if ERRORS_ENGINE_FULL.contains(&number) => Err(ConnectionEnd::AnsweredFull),
-            Some(ERROR_DEADLINE_PASSED) => Err(ConnectionEnd::AnsweredOver),
-            Some(_) => Err(ConnectionEnd::AnsweredError),
-            None if done_with_error => Err(ConnectionEnd::AnsweredError),
-            None => {
-                let memory = self.budget.into_memory();
-                Ok(Served { table: Table { memory, ..self.table }, usage: self.usage })
-            }
-        }
+            };
+        session.close();
+        let event = match result {
+            Ok(Served { table, usage }) => AttemptEvent::Served { table, usage, report: None },
+            Err(end) => AttemptEvent::Ended { end, report: None },
+        };
+        self.context.report_event(attempt, event).await
     }
 }
 
-/// Returns the statement with the request's fields in its first comment.
-fn statement(call: &Call, remaining: Micros) -> String {
-    let key = call.idempotency_key.as_ref().map(|key| format!(",key='{key}'")).unwrap_or_default();
-    format!(
-        "/*id='{}',class='{}',priority='{}',ttl_ms='{}'{key}*/ {}",
-        call.client_request_id,
-        call.class,
-        call.priority,
-        (remaining.0 / 1000).max(1),
-        call.statement
-    )
-}
-
-/// Content of an INFO token about a running request.
-enum InfoContent {
-    Note(ProgressNote),
-    Usage(Usage),
-}
-
-/// Names of the notes, in the order in which they are looked for in the text of an INFO token.
-const NOTE_NAMES: [&str; 3] = ["share", "short", "held"];
-
-/// Parses the text of an INFO token: `share=0.4`, `short=64`, `held=1`, or `toil=120 room=64`.
-fn parse_info(text: &str) -> Option<InfoContent> {
-    let find = |name: &str| {
-        let value = text.split(' ').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
-        value.and_then(|value| value.parse::<f64>().ok()).filter(|value| value.is_finite())
-    };
-    if let Some(note) = NOTE_NAMES.iter().find_map(|name| progress_note(name, find(name)?)) {
-        return Some(InfoContent::Note(note));
+/// Returns the next command; `None` if the pool has dropped the connection. A cancellation without an attempt has no
+/// effect.
+async fn next_run(tasks: &mut mpsc::Receiver<Task>) -> Option<EndpointCommand> {
+    loop {
+        match tasks.recv().await? {
+            Task::Run(command) => return Some(command),
+            Task::Cancel(_) => {}
+        }
     }
-    let work_ms = find("toil")?;
-    Some(InfoContent::Usage(Usage { work_ms, memory_mb: find("room").unwrap_or(0.0) }))
 }
 
-/// Requests the load report of an engine.
-async fn query_load(session: &mut Session) -> Result<LoadReport, ConnectionEnd> {
-    session.send(packet::SQL_BATCH, &token::batch(HEALTH_CHECK_STATEMENT)).await?;
-    let mut columns = Vec::new();
-    let mut row = Row::new();
-    loop {
-        match session.next_token().await? {
-            Token::Columns(reported) => columns = reported,
-            Token::Row(reported) => row = reported,
-            Token::Error { .. } => return Err(ConnectionEnd::AnsweredError),
-            Token::Done { more: false, .. } => break,
-            _ => {}
+impl From<IdleEnd> for DiscardReason {
+    fn from(end: IdleEnd) -> DiscardReason {
+        match end {
+            IdleEnd::UnexpectedData => DiscardReason::UnexpectedData,
+            IdleEnd::Closed => DiscardReason::ClosedByEngine,
         }
     }
-    let cells = columns.iter().zip(row);
-    let pairs = cells.filter_map(|(column, cell)| Some(format!("{}:{}", column.name, cell?)));
-    Ok(load_report(&pairs.collect::<Vec<_>>().join(";")))
 }
--- a/src/upstream/tds/session.rs
+++ b/src/upstream/tds/session.rs
@@ -1,4 +1,7 @@
-//! A TDS session with an engine: login, packets, tokens and cancellation.
+//! A TDS session with an engine: login, one batch, cancellation.
+//!
+//! Responses name no request, so a session carries one batch and is closed behind it: a second copy of a response then
+//! arrives at a closed connection.
 
 use super::Login;
 use crate::clock::Micros;
@@ -9,6 +12,9 @@
 use crate::tds::{login, packet};
 use crate::upstream::{connect_failure, io_failure};
 use bytes::{Buf, BytesMut};
+use socket2::SockRef;
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -23,7 +29,27 @@
 /// The memory that every session gets, whatever the budget. A usual response is read in parts that fit.
 const SMALL_INPUT_BYTES: usize = 32 * 1024;
 
-/// An open session. It executes one batch at a time.
+/// What the engine's next response answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Exchange {
+    /// PRELOGIN or LOGIN7.
+    Login,
+    /// A batch.
+    Batch,
+    /// An Attention. The rest of the batch's response may precede its acknowledgement.
+    Cancellation,
+}
+
+/// Why a session that carried no request can't carry one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum IdleEnd {
+    /// The engine sent something although nothing was requested.
+    UnexpectedData,
+    /// The engine closed the connection, or the connection failed.
+    Closed,
+}
+
+/// An open session. It executes one batch.
 pub(super) struct Session {
     stream: TcpStream,
     received: BytesMut,
@@ -31,6 +57,7 @@
     /// The part of the next token that has been received.
     extent: TokenExtent,
     columns: Vec<Column>,
+    exchange: Exchange,
     /// Whether the last packet of the engine's message was received.
     message_complete: bool,
     /// The memory of the received input.
@@ -40,7 +67,7 @@
 }
 
 impl Session {
-    /// Connects and logs in. On any error, no request was sent.
+    /// Connects and logs in. On any error, no request was sent. An answer that can't be read is [`ConnectionEnd::Malformed`].
     pub(super) async fn open(
         address: SocketAddr,
         credentials: &Login,
@@ -53,15 +80,17 @@
         }
         let mut session = Session {
             stream,
-            received: BytesMut::with_capacity(INITIAL_INPUT_BYTES),
+            received: BytesMut::new(),
             tokens: BytesMut::new(),
             extent: TokenExtent::default(),
             columns: Vec::new(),
+            exchange: Exchange::Login,
             message_complete: false,
             memory,
             last_token_at: now,
         };
-        session.log_in(credentials).await.map_err(|_| ConnectionEnd::ConnectTimeout)?;
+        session.log_in(credentials).await?;
+        session.release_buffers();
         Ok(session)
     }
 
@@ -70,6 +99,9 @@
         while !self.message_complete {
             self.read_packet().await?;
         }
+        if !self.received.is_empty() {
+            return Err(unexpected("data behind its answer to PRELOGIN"));
+        }
         self.send(packet::LOGIN7, &login::login(credentials)).await?;
         let mut acknowledged = false;
         loop {
@@ -78,21 +110,69 @@
                 Token::Error { number, text } => {
                     log::error!("TDS engine rejected the login: error {number}: {}", single_line(&text))
                 }
-                Token::Done { more: false, .. } if acknowledged => return Ok(()),
+                Token::Done { more: false, .. } if acknowledged => break,
                 Token::Done { more: false, .. } => return Err(ConnectionEnd::ConnectTimeout),
                 _ => {}
             }
         }
+        Ok(())
     }
 
-    /// Splits the session's stream into its two directions, for closing it.
+    /// Frees the buffers, which a session that waits for its request does not need.
+    fn release_buffers(&mut self) {
+        if self.received.is_empty() {
+            self.received = BytesMut::new();
+        }
+        self.tokens = BytesMut::new();
+        self.memory.resize(self.received.capacity());
+    }
+
+    /// Waits until the session can no longer carry a request. Cancel safe.
+    pub(super) async fn idle_end(&self) -> IdleEnd {
+        if !self.received.is_empty() {
+            return IdleEnd::UnexpectedData;
+        }
+        match self.stream.peek(&mut [0]).await {
+            Ok(received) if received > 0 => IdleEnd::UnexpectedData,
+            _ => IdleEnd::Closed,
+        }
+    }
+
+    /// Checks whether the session can carry a request. Asks the kernel, since the runtime may not have been notified yet
+    /// of what has arrived.
+    pub(super) fn check_idle(&self) -> Result<(), IdleEnd> {
+        if !self.received.is_empty() {
+            return Err(IdleEnd::UnexpectedData);
+        }
+        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(()),
+            Ok(received) if received > 0 => Err(IdleEnd::UnexpectedData),
+            _ => Err(IdleEnd::Closed),
+        }
+    }
+
+    /// Closes the session by a reset, which leaves no port in TIME_WAIT: there is one session a request, and the ports
+    /// to one engine would run out. No attempt may be in flight on the session.
+    pub(super) fn close(self) {
+        if let Err(error) = self.stream.set_zero_linger() {
+            log::debug!(error:%; "TDS engine: SO_LINGER not set");
+        }
+    }
+
+    /// Splits the session's stream into its two directions, for closing it while a request is pending.
     pub(super) fn into_split(self) -> (OwnedReadHalf, OwnedWriteHalf) {
         self.stream.into_split()
     }
 
+    /// Sends a batch. The session can carry no other one.
+    pub(super) async fn send_batch(&mut self, statement: &str) -> Result<(), ConnectionEnd> {
+        self.exchange = Exchange::Batch;
+        self.send(packet::SQL_BATCH, &token::batch(statement)).await
+    }
+
     /// Sends a message.
-    pub(super) async fn send(&mut self, kind: u8, data: &[u8]) -> Result<(), ConnectionEnd> {
-        self.message_complete = false;
+    async fn send(&mut self, kind: u8, data: &[u8]) -> Result<(), ConnectionEnd> {
+        self.begin_message();
         self.tokens = BytesMut::new();
         self.count_memory()?;
         self.extent = TokenExtent::default();
@@ -100,9 +180,9 @@
         sent.map_err(|error| io_failure(&error))
     }
 
-    /// Returns whether the engine's message has been read to its end.
-    pub(super) fn is_message_complete(&self) -> bool {
-        self.message_complete
+    /// Expects the first packet of a message of the engine.
+    fn begin_message(&mut self) {
+        self.message_complete = false;
     }
 
     /// Counts the memory of the received input, of which a small part is allowed whatever the budget.
@@ -136,6 +216,9 @@
                     return Err(ConnectionEnd::Malformed);
                 }
             }
+            if self.received.capacity() == 0 {
+                self.received.reserve(INITIAL_INPUT_BYTES);
+            }
             let read = self.stream.read_buf(&mut self.received).await;
             if read.map_err(|error| io_failure(&error))? == 0 {
                 return Err(ConnectionEnd::Closed);
@@ -146,6 +229,9 @@
     /// Reads the next complete token. Cancel safe: no byte is lost if the future is dropped.
     pub(super) async fn next_token(&mut self) -> Result<Token, ConnectionEnd> {
         while !self.extent.is_complete(&self.columns, &self.tokens) {
+            if self.message_complete && self.exchange == Exchange::Cancellation && self.tokens.is_empty() {
+                self.begin_message();
+            }
             if self.message_complete {
                 log::warn!(
                     remaining_bytes = self.tokens.len();
@@ -175,8 +261,9 @@
         Ok(token)
     }
 
-    /// Sends an Attention and reads until its acknowledgement. Returns true if the session can carry another request.
+    /// Sends an Attention and reads until its acknowledgement. Returns true if the engine has acknowledged it.
     pub(super) async fn cancel(&mut self) -> bool {
+        self.exchange = Exchange::Cancellation;
         let sent = self.stream.write_all(&packet::message(packet::ATTENTION, &[])).await;
         if sent.is_err() {
             return false;
@@ -190,12 +277,14 @@
             match self.next_token().await {
                 Ok(Token::Done { attention: true, .. }) => return true,
                 Ok(_) => {}
-                // The engine may first send the rest of the response, as a separate message.
-                Err(ConnectionEnd::Malformed) if self.tokens.is_empty() && self.message_complete => {
-                    self.message_complete = false;
-                }
                 Err(_) => return false,
             }
         }
     }
 }
+
+/// Logs data that belongs to no response that is awaited.
+fn unexpected(data: &'static str) -> ConnectionEnd {
+    log::warn!("TDS engine sent {data}: session closed");
+    ConnectionEnd::Malformed
+}
