TDS engines: answers to a login or an Attention are not the empty result of a batch

What callers saw: 200 with no rows, for a request whose rows came a moment later, where a late copy of the answer to the login (LOGINACK, DONE), or a DONE with DONE_ATTN, reached a session whose request was running. A load was so reported done before it ran.

Cause: the response of a batch ended with any DONE; a session did not know what its engine was answering.

Change: a session knows whether its engine answers a login, a batch or an Attention. LOGINACK outside of a login, DONE_ATTN without an Attention and packets that are no response end the session, and the attempt is lost and possibly executed (its class decides about a retry). Where the login's answer had several packets, a copy of the last one can be a DONE alone: on such sessions a result without columns counts as corrupted. A load report without a row is none.

Test: tests/tds_sessions.rs.

--- a/src/upstream/tds/attempt.rs
+++ b/src/upstream/tds/attempt.rs
@@ -94,7 +94,7 @@
             };
             session.last_token_at = self.context.clock.now();
             if let Token::Done { more: false, error, .. } = token {
-                return self.end(error);
+                return self.end(error, session.is_empty_result_ambiguous());
             }
             if let Err(end) = self.handle_token(token).await {
                 return BatchEnd::Broken(end);
@@ -143,7 +143,15 @@
     }
 
     /// Returns how the batch ended. The last DONE token says whether there was an error.
-    fn end(self, done_with_error: bool) -> BatchEnd {
+    fn end(self, done_with_error: bool, is_empty_result_ambiguous: bool) -> BatchEnd {
+        let has_error = done_with_error || self.error.is_some();
+        if !has_error && is_empty_result_ambiguous && self.table.columns.is_empty() {
+            log::warn!(
+                engine = self.context.engine, request:% = self.id;
+                "empty result of a TDS engine may be a part of its answer to the login: attempt lost"
+            );
+            return BatchEnd::Broken(ConnectionEnd::Malformed);
+        }
         BatchEnd::Answered(self.result(done_with_error))
     }
 
--- a/src/upstream/tds/health_check.rs
+++ b/src/upstream/tds/health_check.rs
@@ -63,6 +63,11 @@
             _ => {}
         }
     }
+    if row.is_empty() {
+        // A part of a late answer to the login has no row either.
+        log::warn!("TDS engine answered a health check without a load report: session closed");
+        return Err(ConnectionEnd::Malformed);
+    }
     let cells = columns.iter().zip(row);
     let pairs = cells.filter_map(|(column, cell)| Some(format!("{}:{}", column.name, cell?)));
     Ok(load_report(&pairs.collect::<Vec<_>>().join(";")))
--- a/src/upstream/tds/session.rs
+++ b/src/upstream/tds/session.rs
@@ -1,7 +1,8 @@
 //! A TDS session with an engine: login, one batch, cancellation.
 //!
 //! Responses name no request, so a session carries one batch and is closed behind it: a second copy of a response then
-//! arrives at a closed connection.
+//! arrives at a closed connection. Before the batch, only the login was answered, and a late copy of that answer is
+//! recognised by its LOGINACK.
 
 use super::Login;
 use crate::clock::Micros;
@@ -60,6 +61,10 @@
     exchange: Exchange,
     /// Whether the last packet of the engine's message was received.
     message_complete: bool,
+    /// The number of packets of the engine's message that were received.
+    message_packets: usize,
+    /// Whether the answer of the login had several packets. A copy of the last one could pass for an empty result.
+    login_answer_split: bool,
     /// The memory of the received input.
     memory: MemoryReservation,
     /// Time at which the last token was received.
@@ -86,6 +91,8 @@
             columns: Vec::new(),
             exchange: Exchange::Login,
             message_complete: false,
+            message_packets: 0,
+            login_answer_split: false,
             memory,
             last_token_at: now,
         };
@@ -115,6 +122,7 @@
                 _ => {}
             }
         }
+        self.login_answer_split = self.message_packets > 1;
         Ok(())
     }
 
@@ -183,6 +191,12 @@
     /// Expects the first packet of a message of the engine.
     fn begin_message(&mut self) {
         self.message_complete = false;
+        self.message_packets = 0;
+    }
+
+    /// Returns whether a result without columns may be a part of a late copy of the login's answer.
+    pub(super) fn is_empty_result_ambiguous(&self) -> bool {
+        self.login_answer_split
     }
 
     /// Counts the memory of the received input, of which a small part is allowed whatever the budget.
@@ -202,9 +216,13 @@
     async fn read_packet(&mut self) -> Result<(), ConnectionEnd> {
         loop {
             match packet::next_packet(&mut self.received) {
+                Ok(Some(packet)) if packet.kind != packet::TABULAR_RESULT => {
+                    return Err(unexpected("a packet that is no response"));
+                }
                 Ok(Some(packet)) => {
                     self.tokens.extend_from_slice(&packet.data);
                     self.message_complete = packet.last;
+                    self.message_packets += 1;
                     return match self.tokens.len() > packet::MAX_MESSAGE_BYTES {
                         true => Err(ConnectionEnd::Malformed),
                         false => self.count_memory(),
@@ -255,12 +273,26 @@
         };
         let used = available - input.len();
         self.tokens.advance(used);
+        self.check_expected(&token)?;
         if let Token::Columns(columns) = &token {
             self.columns.clone_from(columns);
         }
         Ok(token)
     }
 
+    /// Checks that a token belongs to the response to what was sent last.
+    fn check_expected(&self, token: &Token) -> Result<(), ConnectionEnd> {
+        match (token, self.exchange) {
+            (Token::LoginAck, Exchange::Batch | Exchange::Cancellation) => {
+                Err(unexpected("a second answer to the login"))
+            }
+            (Token::Done { attention: true, .. }, Exchange::Login | Exchange::Batch) => {
+                Err(unexpected("an acknowledgement without an Attention"))
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Sends an Attention and reads until its acknowledgement. Returns true if the engine has acknowledged it.
     pub(super) async fn cancel(&mut self) -> bool {
         self.exchange = Exchange::Cancellation;
--- a/tests/common/engines/tds_faults.rs
+++ b/tests/common/engines/tds_faults.rs
@@ -48,7 +48,7 @@
     pub closes_idle_after: Option<Duration>,
     /// It sends rows directly behind its answer to the login.
     pub sends_rows_after_login: bool,
-    /// Its answer to the login has several packets. This is no fault.
+    /// Its answer to the login has two packets, of which the second is a DONE alone. This is no fault.
     pub long_login: bool,
 }
 
--- a/tests/common/engines/tds_session.rs
+++ b/tests/common/engines/tds_session.rs
@@ -136,9 +136,8 @@
 /// Answers LOGIN7.
 fn log_in(connection: &mut Connection) -> std::io::Result<()> {
     let faults = connection.controls.tds_faults();
-    // With this text the DONE is alone in the last packet.
-    let text = if faults.long_login { message(0xab, 5701, "master") } else { Vec::new() };
-    connection.respond(TdsResponse::Login, &[text, login_ack(), done(0)].concat())?;
+    let environment = if faults.long_login { environment_change() } else { Vec::new() };
+    connection.respond(TdsResponse::Login, &[environment, login_ack(), done(0)].concat())?;
     if faults.sends_rows_after_login {
         let rows = [columns(&["x"]), row(&["foreign"]), done(0x10)].concat();
         connection.stream.write_all(&packets(&rows, true).concat())?;
@@ -146,6 +145,11 @@
     connection.stream.set_read_timeout(faults.closes_idle_after)
 }
 
+/// An ENVCHANGE token that fills a packet together with the LOGINACK, so that the DONE behind them has one of its own.
+fn environment_change() -> Vec<u8> {
+    token(0xe3, &[0; 21])
+}
+
 fn login_ack() -> Vec<u8> {
     token(0xad, &[1, 0x74, 0, 0, 4, 0, 16, 0, 0, 0])
 }
--- a/tests/tds_sessions.rs
+++ b/tests/tds_sessions.rs
@@ -86,6 +86,31 @@
     assert_eq!(tally.served, tally.sent, "a copy of a load report lost a request");
 }
 
+/// Guards against a second copy of an answer of the login that is read as an empty result. A request that meets one is
+/// rejected or retried, but never served without its rows.
+#[rstest]
+fn a_second_copy_of_a_login_answer_is_no_empty_result(
+    #[values(TdsResponse::Prelogin, TdsResponse::Login)] of: TdsResponse,
+    #[values(0, 1, 5, 50, 500)] delay_ms: u64,
+    #[values(CopiedPart::All, CopiedPart::FirstHalf, CopiedPart::LastPacket)] part: CopiedPart,
+    #[values(false, true)] long_login: bool,
+) {
+    let (program, _engine) = service(TdsFaults { long_login, ..copies(of, delay_ms, part) });
+    serve_for(&program, LOAD_DURATION);
+}
+
+/// Guards against a message that answers something else, and is read as an empty result. The request was possibly
+/// executed, so one of a class that must not run twice fails.
+#[rstest]
+#[case::acknowledgement("POST acknowledged first")]
+#[case::login("POST logged in first")]
+fn a_response_with_parts_of_another_is_not_served(#[case] statement: &str) {
+    let (program, engine) = service(TdsFaults::default());
+    assert_eq!(send(&program, "r", "post", statement).status, 500);
+    assert_eq!(engine.count("POST"), 1, "the request ran twice");
+    assert_eq!(send(&program, "s", "lookup", "SELECT echo").json()["result"], echo_result("s"));
+}
+
 /// Guards against rows that arrive before any request and are read as the result of the first one. The session is
 /// discarded, logged and counted, and no request is lost for it.
 #[test]
