TDS engines: tokens behind the last DONE are not dropped from a response that is served

What callers saw: 200 with the rows up to a DONE, where more rows stood behind it in the same message: parts of two responses in one, of which the client got the first as its own.

Cause: a response ended with its last DONE, whatever its message still held, and whether or not the message had ended.

Change: the last DONE is taken once its message has ended with it. What stands behind it makes the response corrupted: the attempt is lost and possibly executed. A cancelled batch may still end in two DONE tokens, in one message or in two.

--- a/src/tds/token/mod.rs
+++ b/src/tds/token/mod.rs
@@ -7,7 +7,7 @@
 
 pub use extent::TokenExtent;
 pub use request::{batch, read_batch, read_rpc};
-pub use response_reader::{Column, Token, read};
+pub use response_reader::{Column, Token, is_last_done, read};
 pub use response_writer::{ResponseKind, attention_acknowledgement, error, login_ack, table};
 
 const COLMETADATA: u8 = 0x81;
--- a/src/tds/token/response_reader.rs
+++ b/src/tds/token/response_reader.rs
@@ -121,6 +121,12 @@
     Ok(row)
 }
 
+/// Returns whether the input begins with the last DONE, DONEPROC or DONEINPROC of a response. The token is complete.
+pub fn is_last_done(input: &[u8]) -> bool {
+    let is_done = matches!(input.first(), Some(&(DONE | DONEPROC | DONEINPROC)));
+    is_done && matches!(read(&[], &mut &input[..]), Ok(Token::Done { more: false, .. }))
+}
+
 /// Reads the next token. `columns` are the columns of the last [`Token::Columns`].
 ///
 /// # Errors
--- a/src/upstream/tds/session.rs
+++ b/src/upstream/tds/session.rs
@@ -244,9 +244,10 @@
         }
     }
 
-    /// Reads the next complete token. Cancel safe: no byte is lost if the future is dropped.
+    /// Reads the next complete token. The last DONE of a response is returned once the message has ended there. Cancel
+    /// safe: no byte is lost if the future is dropped.
     pub(super) async fn next_token(&mut self) -> Result<Token, ConnectionEnd> {
-        while !self.extent.is_complete(&self.columns, &self.tokens) {
+        while !self.extent.is_complete(&self.columns, &self.tokens) || self.is_end_awaited() {
             if self.message_complete && self.exchange == Exchange::Cancellation && self.tokens.is_empty() {
                 self.begin_message();
             }
@@ -262,6 +263,12 @@
         self.take_token()
     }
 
+    /// Whether the next token is the last one of a response whose message has not ended yet. A cancelled batch may end in
+    /// two of them, in one message or in two.
+    fn is_end_awaited(&self) -> bool {
+        self.exchange != Exchange::Cancellation && !self.message_complete && token::is_last_done(&self.tokens)
+    }
+
     /// Removes the token at the front of the received ones, which is complete.
     fn take_token(&mut self) -> Result<Token, ConnectionEnd> {
         self.extent = TokenExtent::default();
@@ -289,6 +296,11 @@
             (Token::Done { attention: true, .. }, Exchange::Login | Exchange::Batch) => {
                 Err(unexpected("an acknowledgement without an Attention"))
             }
+            (Token::Done { more: false, .. }, Exchange::Login | Exchange::Batch)
+                if !self.tokens.is_empty() =>
+            {
+                Err(unexpected("tokens behind the last DONE"))
+            }
             _ => Ok(()),
         }
     }
--- a/tests/tds_sessions.rs
+++ b/tests/tds_sessions.rs
@@ -104,6 +104,7 @@
 #[rstest]
 #[case::acknowledgement("POST acknowledged first")]
 #[case::login("POST logged in first")]
+#[case::tokens_behind_the_end("POST overrun")]
 fn a_response_with_parts_of_another_is_not_served(#[case] statement: &str) {
     let (program, engine) = service(TdsFaults::default());
     assert_eq!(send(&program, "r", "post", statement).status, 500);
