TDS engines: sessions ahead are opened behind waiting requests; sanddyke-testbed tds-load

Requests that wait are sent before the next sessions are opened, a connection is free for the next request before its client has its answer, and the common limit of the sessions ahead has a test (20 engines, 160 descriptors: 10 at most).

--- a/crates/testbed/src/bin/sanddyke-testbed/arguments.rs
+++ b/crates/testbed/src/bin/sanddyke-testbed/arguments.rs
@@ -84,4 +84,27 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// Compare versions of the program with an engine over TDS: throughput, latency, sockets and memory.
+    #[command(after_help = "Example:\n  sanddyke-testbed tds-load --program before/sanddyke --program \
+target/release/sanddyke --rate 600 --seconds 65")]
+    TdsLoad {
+        /// A version of the program. May be given several times.
+        #[arg(long, default_value = "target/release/sanddyke")]
+        program: Vec<PathBuf>,
+        /// How often each version is measured, in turn.
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=100))]
+        rounds: u64,
+        /// The number of clients.
+        #[arg(long, default_value_t = 16, value_parser = clap::value_parser!(u64).range(1..=500))]
+        clients: u64,
+        /// How long each measurement lasts.
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=300))]
+        seconds: u64,
+        /// Requests a second of all clients together; as many as are answered if it is absent.
+        #[arg(long, default_value_t = 0.0)]
+        rate: f64,
+        /// The time after which the engine answers a request, in ms.
+        #[arg(long, default_value_t = 0)]
+        work_ms: u64,
+    },
 }
--- a/crates/testbed/src/bin/sanddyke-testbed/main.rs
+++ b/crates/testbed/src/bin/sanddyke-testbed/main.rs
@@ -10,7 +10,9 @@
 use arguments::{Arguments, Command};
 use clap::Parser;
 use sanddyke_testbed::TestbedError;
+use sanddyke_testbed::tds_load::Plan;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// Exit code if a measured result is outside its bound.
 const OUT_OF_BOUNDS: u8 = 3;
@@ -51,6 +53,17 @@
             Command::Duties { program, times, lease_ms, out } => {
                 measurements::lease_gaps(&program, times as usize, lease_ms, out).await
             }
+            Command::TdsLoad { program, rounds, clients, seconds, rate, work_ms } => {
+                let plan = Plan {
+                    programs: program,
+                    rounds: rounds as usize,
+                    clients: clients as usize,
+                    duration: Duration::from_secs(seconds),
+                    rate,
+                    work: Duration::from_millis(work_ms),
+                };
+                measurements::tds_load(&plan).await
+            }
             Command::Second { program, seconds, out } => {
                 measurements::operations_endpoint(&program, seconds, out).await
             }
--- a/crates/testbed/src/bin/sanddyke-testbed/measurements.rs
+++ b/crates/testbed/src/bin/sanddyke-testbed/measurements.rs
@@ -1,7 +1,7 @@
-//! The measuring sub-commands `duties` and `second`.
+//! The measuring sub-commands `duties`, `second` and `tds-load`.
 
 use crate::CommandOutcome;
-use sanddyke_testbed::{TestbedError, faults, operations_endpoint};
+use sanddyke_testbed::{TestbedError, faults, operations_endpoint, tds_load};
 use std::path::{Path, PathBuf};
 
 /// Measures how long a lease has no holder, and writes the table and the chart to the folder `out`, if any.
@@ -42,3 +42,9 @@
         false => Ok(CommandOutcome::OutOfBounds),
     }
 }
+
+/// Compares versions of the program with an engine over TDS, and prints the table.
+pub async fn tds_load(plan: &tds_load::Plan) -> Result<CommandOutcome, TestbedError> {
+    print!("{}", tds_load::csv(&tds_load::run(plan).await?));
+    Ok(CommandOutcome::Passed)
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod program;
 pub mod report;
 pub mod soak;
+pub mod tds_load;
 
 pub use error::TestbedError;
 
--- a/crates/testbed/src/program.rs
+++ b/crates/testbed/src/program.rs
@@ -158,6 +158,11 @@
     }
 }
 
+/// A listen address for clients that no other process of the testbed uses.
+pub(crate) fn unused_client_address() -> SocketAddr {
+    SocketAddr::new(unused_address(), CLIENT_PORT)
+}
+
 /// A loopback address derived from the process id and the program's number, so that concurrent programs do not collide.
 fn unused_address() -> IpAddr {
     let [process_low, process_high] = (std::process::id() as u16).to_le_bytes();
--- a/src/upstream/tds/connection.rs
+++ b/src/upstream/tds/connection.rs
@@ -165,6 +165,7 @@
                 }
             };
         session.close();
+        self.report(ConnectionReport::Ended(self.number)).await;
         let event = match result {
             Ok(Served { table, usage }) => AttemptEvent::Served { table, usage, report: None },
             Err(end) => AttemptEvent::Ended { end, report: None },
--- a/src/upstream/tds/mod.rs
+++ b/src/upstream/tds/mod.rs
@@ -72,6 +72,8 @@
     ahead: SessionsAhead,
     /// Permits for sessions ahead, which all engines share.
     ahead_permits: Arc<Semaphore>,
+    /// Whether a session ahead was taken since the last ones were opened.
+    is_refill_due: bool,
     last_number: ConnectionNumber,
     reports: mpsc::Sender<ConnectionReport>,
 }
@@ -94,6 +96,7 @@
         in_flight: HashMap::new(),
         ahead: SessionsAhead::new(),
         ahead_permits,
+        is_refill_due: false,
         last_number: 0,
         reports,
     };
@@ -101,6 +104,14 @@
     reviews.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
+            // A connection that has ended makes room for the next command.
+            biased;
+            report = received_reports.recv() => {
+                if let Some(report) = report {
+                    pool.apply_report(report);
+                }
+            }
+            _ = reviews.tick() => pool.review_sessions_ahead(),
             command = commands.recv() => {
                 let Some(command) = command else { return };
                 if let Some(Rejected { command, end }) = pool.apply_command(command)
@@ -109,12 +120,8 @@
                     return;
                 }
             }
-            report = received_reports.recv() => {
-                if let Some(report) = report {
-                    pool.apply_report(report);
-                }
-            }
-            _ = reviews.tick() => pool.review_sessions_ahead(),
+            // Requests that wait are sent first.
+            () = std::future::ready(()), if pool.is_refill_due => pool.open_sessions_ahead(),
         }
     }
 }
@@ -134,9 +141,7 @@
             // Engines acknowledge each Attention, so each cancellation is confirmed.
             EndpointCommand::Cancel { attempt, .. } => self.cancel(attempt),
             EndpointCommand::Start { .. } | EndpointCommand::HealthCheck => {
-                let rejected = self.start(command);
-                self.open_sessions_ahead();
-                return rejected;
+                return self.start(command);
             }
         }
         None
@@ -166,6 +171,7 @@
 
     /// Passes a command to a connection that is open ahead, and opens one if there is none.
     fn start(&mut self, command: EndpointCommand) -> Option<Rejected> {
+        self.is_refill_due = true;
         let number = match self.ahead.take() {
             Some(number) => number,
             None if self.connections.len() >= self.context.limits.max_connections => {
@@ -194,6 +200,7 @@
 
     /// Opens sessions ahead of the next requests, as many as the limits allow.
     fn open_sessions_ahead(&mut self) {
+        self.is_refill_due = false;
         for _ in 0..self.ahead.missing() {
             if self.connections.len() >= self.context.limits.max_connections {
                 return;
--- a/tests/tds_sessions.rs
+++ b/tests/tds_sessions.rs
@@ -5,7 +5,7 @@
 
 use common::engines::tds_faults::{CopiedPart, Copies, TdsFaults, TdsResponse};
 use common::engines::{self, Engine};
-use common::{Program, Reply, TOKEN, endpoint, hex, read_reply, start, wait_until};
+use common::{Program, Reply, TOKEN, endpoint, hex, read_reply, settings, start, wait_until};
 use rstest::rstest;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
@@ -232,6 +232,27 @@
     });
 }
 
+/// Guards against descriptors that are used up by sessions ahead where there are many engines: all of them together have
+/// a sixteenth of the descriptors.
+#[test]
+fn sessions_ahead_of_many_engines_have_a_common_limit() {
+    let engines: Vec<Engine> = (0..20).map(|_| engines::tds()).collect();
+    let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
+    let mut settings = settings();
+    settings["allowed"]["probes"] = json!(false);
+    let mut overrides = tds();
+    overrides["settings"] = settings;
+    overrides["limits"] = json!({"sockets": 160});
+    let program = start(&addresses, overrides);
+    for number in 0..60 {
+        send(&program, &format!("{number:02}"), "lookup", "SELECT echo");
+    }
+    let used = engines.iter().filter(|engine| engine.count("echo") > 0).count();
+    assert!(used > 10, "{used} engines were used");
+    let ahead: usize = addresses.iter().map(|address| sockets_to(*address, ESTABLISHED)).sum();
+    assert!((1..=10).contains(&ahead), "{ahead} sessions ahead");
+}
+
 /// Limit of the sessions that are open ahead to one engine.
 const MAX_SESSIONS_AHEAD: usize = 16;
 // States of a TCP socket in /proc/net/tcp.
