Client library: a connection carries one call

What callers saw: where the service, or a proxy before it, sent a response a second time, the next call on the same connection returned it: one tenant for another, or a change reported as made that was not.

Connections were used again, and HTTP/1.1 responses name no request. ureq drops an idle connection with data on it, but a copy that comes while the next call is in progress is taken as its response.

Change: no connection is kept. A call costs a connection, and a TLS handshake where that is set.

--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -155,6 +155,8 @@
         let config = ureq::Agent::config_builder()
             .http_status_as_error(false)
             .timeout_global(Some(CALL_TIMEOUT))
+            // Responses name no request: on a connection that is used again, a late second one would pass for the next.
+            .max_idle_connections(0)
             .tls_config(tls.build())
             .build();
         Ok(Client { agent: config.new_agent(), options })
