HTTP frontend: a new connection is not closed as idle before its first request arrives

Cause (found with RUST_LOG=debug and by reading): once idle connections are being closed, a connection that was just accepted was closed after one yield of its task, if its request had not come by then.

Change: a new connection counts as idle 200 ms after it was accepted at the earliest.

--- a/src/frontend/http/connection.rs
+++ b/src/frontend/http/connection.rs
@@ -27,6 +27,8 @@
 const SMALL_REQUEST_BYTES: usize = 8192;
 /// How long after the end of its time a client may still fetch pages of its result. It covers the way to the client.
 const PAGE_EXPIRY_SLACK: Duration = Duration::from_secs(1);
+/// How long a new connection is not closed as idle. Its client has connected to send a request, which is on its way.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(200);
 /// A client's connection, with the input that was received but not parsed yet.
 pub(super) struct Client {
     stream: TcpStream,
@@ -35,13 +37,16 @@
     dropped_input: bool,
     /// The client request id of the result whose next page the client calls; `None` if there is none.
     result_in_delivery: Option<String>,
+    /// When the connection may be closed as idle.
+    idle_from: tokio::time::Instant,
 }
 
 /// Serves a connection until it is closed.
 pub(super) async fn serve(stream: TcpStream, permit: &ConnectionPermit, frontend: &Http) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let input = InputBuffer::new(&frontend.memory.requests);
-    let mut client = Client { stream, input, dropped_input: false, result_in_delivery: None };
+    let idle_from = tokio::time::Instant::now() + FIRST_REQUEST_GRACE;
+    let mut client = Client { stream, input, dropped_input: false, result_in_delivery: None, idle_from };
     let mut deadline = Some(first_request_deadline());
     let mut wait = READ_TIMEOUT;
     let mut tracked_connection = Some(frontend.lifecycle.track_connection());
@@ -52,6 +57,7 @@
         let Some(read) = read else { break };
         deadline = None;
         wait = IDLE_TIMEOUT;
+        client.idle_from = tokio::time::Instant::now();
         permit.busy();
         let tracked_request = frontend.lifecycle.track_request();
         let Some(close) = client.respond(frontend, read).await? else { return Ok(()) };
@@ -80,8 +86,10 @@
             return Ok(true);
         }
         let result_in_delivery = self.result_in_delivery.take();
+        let idle_from = self.idle_from;
         let close_idle = async {
             frontend.lifecycle.wait_for_idle_close().await;
+            tokio::time::sleep_until(idle_from).await;
             if let Some(client_request_id) = &result_in_delivery {
                 frontend.wait_for_delivery_of(client_request_id).await;
             }
--- a/tests/result_pages.rs
+++ b/tests/result_pages.rs
@@ -95,6 +95,22 @@
     assert!(program.wait().success());
 }
 
+/// Guards against a new connection that is closed before its first request arrives, because idle connections are being
+/// closed: a client connects first and sends its request a moment later.
+#[test]
+fn a_page_is_fetched_by_a_client_that_has_connected_a_moment_before() {
+    let (mut program, _engine) = paged_program();
+    end(&mut program, End::Sigterm);
+    let first = read_reply(&mut program.send("a", "lookup", 15_000, None, "SELECT big")).unwrap();
+    std::thread::sleep(ALL_CLOSED);
+    fetch_rest(first, |path| {
+        let mut stream = program.connect();
+        std::thread::sleep(Duration::from_millis(20));
+        get(&mut stream, path)
+    });
+    assert!(program.wait().success());
+}
+
 /// Guards against pages that no process has after an upgrade: new connections reach the next process.
 #[test]
 fn a_process_that_is_handed_over_delivers_the_rest_on_open_connections() {
